--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+LOSS ?= 0
+STAMP = $(VENV)/.installed
+
+.PHONY: demo test lint format setup measure measure-all slopes
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml
+	test -d $(VENV) || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/python -m berylturn_standins.demo --loss $(LOSS)
+
+test: setup
+	$(BIN)/python -m tests
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/src/berylturn/connection/effects.py
@@ -0,0 +1,73 @@
+"""What the rules of an agent ask its sockets and tasks to do."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .frames import Frame
+from .packets import RefusalReason
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class SendToCaller:
+    """Send one packet to a caller through a balancer."""
+
+    caller: Address
+    balancer: Address
+    packet: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class SendFrame:
+    """Send one frame to another daemon."""
+
+    address: Address
+    frame: Frame
+
+
+@dataclass(frozen=True, slots=True)
+class StartRequest:
+    """Run one request on the backend server; `deadline` is on the clock."""
+
+    flow_id: bytes
+    number: int
+    service: str
+    body: bytes
+    repeatable: bool
+    stream: bool
+    deadline: float
+    era: int
+
+
+@dataclass(frozen=True, slots=True)
+class CancelRequest:
+    """Cancel one request on the backend server."""
+
+    flow_id: bytes
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseFlow:
+    """Close the backend server's connection of a flow that has ended."""
+
+    flow_id: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class FlowDecision:
+    """Record the admission, passing or refusal of a new flow for the log."""
+
+    decision: str
+    flow_id: bytes
+    service: str
+    reason: RefusalReason | None = None
+    sibling: str = ""
+    hops: int = 0
+
+
+Effect = (
+    SendToCaller | SendFrame | StartRequest | CancelRequest | ReleaseFlow | FlowDecision
+)
--- /dev/null
+++ b/src/berylturn/connection/packets.py
@@ -0,0 +1,235 @@
+"""Packets between callers and the system, one datagram each (docs/CALLERS.md)."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+import msgspec
+
+from ..errors import PacketError
+
+MAX_DATAGRAM_BYTES = 1200
+PART_BYTES = 900
+FLOW_ID_BYTES = 16
+MAX_PARTS = 65_536
+
+
+class RefusalReason(IntEnum):
+    """Say why a flow or a request was turned down."""
+
+    FULL = 1
+    DRAINING = 2
+    COLD = 3
+    NO_SERVER = 4
+    UNKNOWN_SERVICE = 5
+    DEADLINE = 6
+    CANCELLED = 7
+    UNREACHABLE = 8
+    SHED = 9
+    RATE = 10
+
+
+class CloseReason(IntEnum):
+    """Say why a flow ended."""
+
+    CALLER = 1
+    DATA_CENTRE_OUT = 2
+    DRAINED = 3
+    FLOW_LOST = 4
+    EXPIRED = 5
+
+
+class Packet(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """Base of all packets."""
+
+
+class Open(Packet, tag=1):
+    """Ask for a new flow; `attempt` counts retransmissions from 0."""
+
+    flow_id: bytes
+    service: str
+    attempt: int = 0
+
+
+class Accepted(Packet, tag=2):
+    """Confirm a flow and carry its route token."""
+
+    flow_id: bytes
+    incarnation: int
+    token: bytes
+
+
+class Refused(Packet, tag=3):
+    """Turn a flow down; `retry_after_ms` is the advised pause."""
+
+    flow_id: bytes
+    attempt: int
+    reason: RefusalReason
+    retry_after_ms: int = 0
+
+
+class Request(Packet, tag=4):
+    """Carry one part of a request body; `deadline_ms` is relative."""
+
+    token: bytes
+    number: int
+    low_water: int
+    repeatable: bool
+    stream: bool
+    deadline_ms: int
+    part: int
+    parts: int
+    body: bytes
+
+
+class Running(Packet, tag=5):
+    """Say that a request has arrived and has no answer yet."""
+
+    flow_id: bytes
+    incarnation: int
+    number: int
+
+
+class AnswerPart(Packet, tag=6):
+    """Carry one part of an answer."""
+
+    flow_id: bytes
+    incarnation: int
+    number: int
+    status: int
+    part: int
+    parts: int
+    body: bytes
+
+
+class RequestNotRun(Packet, tag=7):
+    """Say that a request certainly did not run; final for its number."""
+
+    flow_id: bytes
+    incarnation: int
+    number: int
+    reason: RefusalReason
+    retry_after_ms: int = 0
+
+
+class RequestUnknown(Packet, tag=8):
+    """Say that a request may have run; final for its number."""
+
+    flow_id: bytes
+    incarnation: int
+    number: int
+
+
+class Missing(Packet, tag=9):
+    """Ask again for parts of an answer, or for items of a stream."""
+
+    token: bytes
+    number: int
+    parts: list[int]
+
+
+class Cancel(Packet, tag=10):
+    """Withdraw a request or end a stream."""
+
+    token: bytes
+    number: int
+
+
+class Ping(Packet, tag=11):
+    """Keep a flow alive and report the lowest number still awaited."""
+
+    token: bytes
+    low_water: int
+    sequence: int
+
+
+class Pong(Packet, tag=12):
+    """Answer a ping."""
+
+    flow_id: bytes
+    incarnation: int
+    sequence: int
+
+
+class Close(Packet, tag=13):
+    """End a flow from the caller's side."""
+
+    token: bytes
+
+
+class FlowClosed(Packet, tag=14):
+    """End a flow from the system's side."""
+
+    flow_id: bytes
+    incarnation: int
+    reason: CloseReason
+
+
+class StreamItem(Packet, tag=15):
+    """Carry one item of a stream; sequence numbers start at 0."""
+
+    flow_id: bytes
+    incarnation: int
+    number: int
+    sequence: int
+    body: bytes
+
+
+class StreamState(Packet, tag=16):
+    """Heartbeat of a stream: items sent so far, and whether it has ended."""
+
+    flow_id: bytes
+    incarnation: int
+    number: int
+    items: int
+    ended: bool
+
+
+FromCaller = Open | Request | Missing | Cancel | Ping | Close
+ToCallerPacket = (
+    Accepted
+    | Refused
+    | Running
+    | AnswerPart
+    | RequestNotRun
+    | RequestUnknown
+    | Pong
+    | FlowClosed
+    | StreamItem
+    | StreamState
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_from_caller = msgspec.msgpack.Decoder(FromCaller)
+_to_caller = msgspec.msgpack.Decoder(ToCallerPacket)
+
+
+def encode_packet(packet: Packet) -> bytes:
+    """Return the datagram of `packet`; raise `PacketError` when too large."""
+    data = _encoder.encode(packet)
+    if len(data) > MAX_DATAGRAM_BYTES:
+        raise PacketError(
+            f"packet has {len(data)} bytes; split bodies at {PART_BYTES} bytes"
+        )
+    return data
+
+
+def decode_from_caller(data: bytes) -> FromCaller:
+    """Return the caller's packet in `data` or raise `PacketError`."""
+    if len(data) > MAX_DATAGRAM_BYTES:
+        raise PacketError(f"datagram has {len(data)} bytes; send at most 1200")
+    try:
+        packet = _from_caller.decode(data)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise PacketError("datagram is malformed; see docs/CALLERS.md") from error
+    if type(packet) is Open and len(packet.flow_id) != FLOW_ID_BYTES:
+        raise PacketError("flow id is not 16 bytes; pick 128 random bits")
+    return packet
+
+
+def decode_to_caller(data: bytes) -> ToCallerPacket:
+    """Return the system's packet in `data` or raise `PacketError`."""
+    try:
+        return _to_caller.decode(data)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise PacketError("datagram is malformed; use one release") from error
--- /dev/null
+++ b/src/berylturn/connection/token.py
@@ -0,0 +1,55 @@
+"""Route token: lets any balancer route an established flow without a lookup."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..errors import AuthenticationError
+from .keys import MAC_BYTES, KeyRing
+
+SIGNATURE_BYTES = MAC_BYTES + 1
+
+
+class RouteToken(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """State the agent, service and flow that a packet belongs to.
+
+    Attributes
+    ----------
+    host, port : str, int
+        UDP address of the agent.
+    incarnation : int
+        Incarnation of the agent's flow state.
+    data_centre, service : str
+        Names that the balancer checks against the configuration.
+    flow_id : bytes
+        128-bit identifier chosen by the caller.
+    """
+
+    host: str
+    port: int
+    incarnation: int
+    data_centre: str
+    service: str
+    flow_id: bytes
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(RouteToken)
+
+
+def issue_token(token: RouteToken, keys: KeyRing) -> bytes:
+    """Return the signed wire form of `token`."""
+    body = _encoder.encode(token)
+    return keys.sign(body) + body
+
+
+def verify_token(data: bytes, keys: KeyRing) -> RouteToken:
+    """Return the token in `data` or raise `AuthenticationError`."""
+    body = data[SIGNATURE_BYTES:]
+    keys.verify(data[:SIGNATURE_BYTES], body)
+    try:
+        return _decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise AuthenticationError(
+            "token has another format; upgrade all daemons to one release"
+        ) from error
--- /dev/null
+++ b/src/berylturn/daemon.py
@@ -0,0 +1,97 @@
+"""Entry point of `berylturnd`."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import fire
+import uvloop
+
+from .errors import BerylturnError
+from .process.clock import SystemClock
+
+EXIT_FAILED = 1
+
+
+def run_balancer(settings: str) -> None:
+    """Run a balancer until SIGTERM.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the INI file.
+    """
+    from .process.balancer import Balancer
+    from .process.logs import LogWriter
+    from .process.settings import BalancerSettings, read_settings
+
+    values = read_settings(settings, BalancerSettings)
+    logs = LogWriter(values.logs.file, values.logs.level, values.node.name)
+
+    async def serve() -> None:
+        await Balancer(values, SystemClock(), logs).run()
+
+    uvloop.run(serve())
+
+
+def run_agent(settings: str) -> None:
+    """Run an agent until SIGTERM.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the INI file.
+    """
+    from .process.agent import Agent
+    from .process.logs import LogWriter
+    from .process.settings import AgentSettings, read_settings
+
+    values = read_settings(settings, AgentSettings)
+    logs = LogWriter(values.logs.file, values.logs.level, values.node.name)
+
+    async def serve() -> None:
+        await Agent(values, SystemClock(), logs).run()
+
+    uvloop.run(serve())
+
+
+def check_settings(file: str) -> None:
+    """Validate a settings file and explain every key.
+
+    Parameters
+    ----------
+    file : str
+        Path of the INI file.
+    """
+    from .process.settings import (
+        explain_settings,
+        guess_model,
+        make_key_ring,
+        read_sections,
+        read_settings,
+    )
+
+    values = read_settings(file, guess_model(read_sections(file)))
+    make_key_ring(values.keys)
+    print("\n".join(explain_settings(values)))
+
+
+def main() -> None:
+    """Run the command named on the command line."""
+    commands = {
+        "balancer": run_balancer,
+        "agent": run_agent,
+        "check": check_settings,
+    }
+    try:
+        fire.Fire(commands, name="berylturnd")
+    except BerylturnError as error:
+        print(f"berylturnd: {error}", file=sys.stderr)
+        sys.exit(EXIT_FAILED)
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        sys.exit(EXIT_FAILED)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/berylturn/process/__init__.py
@@ -0,0 +1,1 @@
+"""State and rules that live for one process."""
--- /dev/null
+++ b/src/berylturn/process/agent.py
@@ -0,0 +1,377 @@
+"""The agent daemon: beside one backend server, owns its flows and limits."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..connection.admission import AgentRules, Identity, split_answer
+from ..connection.effects import (
+    CancelRequest,
+    Effect,
+    FlowDecision,
+    ReleaseFlow,
+    SendFrame,
+    SendToCaller,
+    StartRequest,
+)
+from ..connection.frames import (
+    Announce,
+    AnnounceAck,
+    Frame,
+    LoadDigest,
+    MemberState,
+    Probe,
+    ProbeAck,
+    Role,
+    Status,
+    ToAgent,
+    ToCaller,
+    open_frame,
+    seal_frame,
+)
+from ..connection.gate import AdmissionGate, Limits
+from ..connection.packets import RefusalReason
+from ..errors import (
+    AuthenticationError,
+    ConnectError,
+    ConnectionBroken,
+    PacketError,
+    ShedError,
+)
+from ..request.ledger import DidNotRun, MayHaveRun, Outcome
+from ..request.queue import RequestQueue
+from ..version.view import View
+from .backend import Call, HttpBackend
+from .clock import Clock, epoch_milliseconds
+from .homes import Homes
+from .logs import LogWriter, log_event, log_warning
+from .metrics import Metrics
+from .settings import AgentSettings, make_key_ring
+from .sockets import open_udp
+from .tasks import TaskGroup
+
+Address = tuple[str, int]
+
+TICK_SECONDS = 0.05
+IDLE_SCAN_SECONDS = 5.0
+CLOSING_SECONDS = 1.5
+UNREACHABLE_RETRY_MS = 200
+SHED_RETRY_MS = 200
+
+
+class Agent:
+    """Own the sockets and the tasks of one agent.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+        Validated settings.
+    clock : Clock
+        Source of time.
+    logs : LogWriter
+        Writer of the log lines.
+    """
+
+    def __init__(self, settings: AgentSettings, clock: Clock, logs: LogWriter) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._logs = logs
+        self._keys = make_key_ring(settings.keys)
+        self._view = View()
+        self._metrics = Metrics(settings.metrics.statsd, settings.node.name)
+        self._homes = Homes(
+            settings.peers.seeds, settings.agent.announce.total_seconds()
+        )
+        self._tasks = TaskGroup()
+        self._running: dict[tuple[bytes, int], asyncio.Task[None]] = {}
+        self._epoch = epoch_milliseconds(clock)
+        self._status = Status.ALIVE
+        self._backend = HttpBackend(
+            settings.backend.url,
+            settings.backend.connect_timeout,
+            settings.backend.idle,
+            self._on_backend_restart,
+            clock,
+        )
+        self._rules = self._new_rules(incarnation=self._epoch)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop without cutting a request."""
+        self._tasks.stop_on_signals()
+        await self._open_sockets()
+        self._start_tasks()
+        await self._tasks.stop.wait()
+        await self._drain()
+        await self._tasks.cancel_all()
+        await self._backend.close()
+        self._logs.flush()
+        if self._tasks.failure is not None:
+            raise self._tasks.failure
+
+    def _new_rules(self, incarnation: int) -> AgentRules:
+        settings = self._settings
+        identity = Identity(
+            settings.node.name,
+            settings.node.data_centre,
+            settings.listen.advertise or settings.listen.peers,
+            incarnation,
+        )
+        return AgentRules(
+            identity,
+            self._keys,
+            AdmissionGate(Limits(), self._clock.monotonic()),
+            RequestQueue(settings.agent.queue),
+            self._view,
+            settings.agent.flow_idle.total_seconds(),
+        )
+
+    async def _open_sockets(self) -> None:
+        listen = self._settings.listen.peers
+        self._peers = await open_udp(listen, self._on_frame)
+        self._announcer = await open_udp((listen[0], 0), self._on_frame)
+
+    def _start_tasks(self) -> None:
+        self._tasks.start(self._logs.run(), "logs")
+        self._tasks.start(self._metrics.run(), "metrics")
+        self._tasks.start(self._tick_forever(), "tick")
+        self._tasks.start(self._send_digests(), "digests")
+        self._tasks.start(self._backend.watch_restarts(), "sentinel")
+        self._tasks.start(self._close_idle(), "idle")
+
+    def _on_frame(self, data: bytes, source: Address) -> None:
+        try:
+            frame = open_frame(data, self._keys)
+        except (AuthenticationError, PacketError):
+            self._metrics.count("drops.unauthenticated")
+            return
+        now = self._clock.monotonic()
+        if type(frame) is ToAgent:
+            self._rules.on_packet(frame, source, now)
+            self._apply_effects()
+        elif isinstance(frame, LoadDigest):
+            self._rules.siblings.on_digest(frame, now)
+        elif isinstance(frame, AnnounceAck):
+            self._on_announce_ack(frame)
+        elif isinstance(frame, Probe):
+            self._send_frame(source, ProbeAck(frame.sequence))
+
+    def _on_announce_ack(self, ack: AnnounceAck) -> None:
+        if not self._homes.on_ack(ack.sequence, ack.digest):
+            return
+        if ack.balancers:
+            self._homes.set_balancers(ack.balancers)
+        if ack.balancers or ack.siblings or ack.objects:
+            self._rules.siblings.set_members(ack.siblings)
+            self._apply_configuration(ack)
+        if ack.status >= Status.SUSPECT and ack.epoch >= self._epoch:
+            self._epoch = ack.epoch + 1
+            self._homes.force(self._clock.monotonic())
+            log_warning("suspicion_refuted", epoch=self._epoch)
+
+    def _apply_configuration(self, ack: AnnounceAck) -> None:
+        for change in self._view.apply(ack.objects):
+            log_event(
+                "config",
+                object=change.name,
+                version=change.version,
+                problem=change.problem,
+            )
+        self._tick()
+
+    def _apply_effects(self) -> None:
+        for effect in self._rules.take_effects():
+            self._apply_effect(effect)
+
+    def _apply_effect(self, effect: Effect) -> None:
+        if isinstance(effect, SendToCaller):
+            frame = ToCaller(effect.caller, effect.packet)
+            self._send_frame(effect.balancer, frame)
+        elif isinstance(effect, SendFrame):
+            self._send_frame(effect.address, effect.frame)
+        elif isinstance(effect, StartRequest):
+            self._start_request(effect)
+        elif isinstance(effect, CancelRequest):
+            self._tasks.spawn(self._cancel_request(effect))
+        elif isinstance(effect, ReleaseFlow):
+            self._tasks.spawn(self._backend.release(effect.flow_id))
+        else:
+            self._log_decision(effect)
+
+    def _send_frame(self, address: Address, frame: Frame) -> None:
+        self._peers.sendto(seal_frame(frame, self._keys), address)
+
+    def _log_decision(self, decision: FlowDecision) -> None:
+        log_event(
+            decision.decision,
+            flow=decision.flow_id.hex(),
+            service=decision.service,
+            server=self._settings.node.name,
+            data_centre=self._settings.node.data_centre,
+            reason=decision.reason.name.lower() if decision.reason else "",
+            sibling=decision.sibling,
+            hops=decision.hops,
+        )
+
+    def _start_request(self, request: StartRequest) -> None:
+        work = self._run_stream if request.stream else self._run_request
+        key = (request.flow_id, request.number)
+        self._running[key] = self._tasks.spawn(work(request))
+
+    async def _run_request(self, request: StartRequest) -> None:
+        started = self._clock.monotonic()
+        outcome: Outcome = MayHaveRun()
+        try:
+            outcome = await self._ask_backend(request)
+        finally:
+            now = self._clock.monotonic()
+            key = (request.flow_id, request.number)
+            self._running.pop(key, None)
+            self._metrics.time("request", now - started)
+            self._rules.on_finished(*key, outcome, now - started, now)
+            self._apply_effects()
+
+    async def _ask_backend(self, request: StartRequest) -> Outcome:
+        now = self._clock.monotonic()
+        call = _call(request, request.deadline - now)
+        try:
+            reply = await self._backend.run(call)
+        except ConnectError:
+            self._on_cold_sign("unreachable")
+            return DidNotRun(RefusalReason.UNREACHABLE, UNREACHABLE_RETRY_MS)
+        except ShedError:
+            self._on_cold_sign("shed")
+            return DidNotRun(RefusalReason.SHED, SHED_RETRY_MS)
+        except ConnectionBroken as error:
+            self._metrics.count("requests.unknown")
+            if not isinstance(error.__cause__, TimeoutError):
+                self._on_cold_sign("reset")
+            return MayHaveRun()
+        self._metrics.count("requests.answered")
+        return split_answer(reply.status, reply.body)
+
+    async def _run_stream(self, request: StartRequest) -> None:
+        key = (request.flow_id, request.number)
+        try:
+            async for data in self._backend.stream(_call(request, 0.0)):
+                self._rules.on_stream_data(*key, data, self._clock.monotonic())
+                self._apply_effects()
+        finally:
+            self._running.pop(key, None)
+            self._rules.on_stream_end(*key, self._clock.monotonic())
+            self._apply_effects()
+
+    async def _cancel_request(self, effect: CancelRequest) -> None:
+        task = self._running.get((effect.flow_id, effect.number))
+        if task is None:
+            return
+        await self._backend.cancel(effect.flow_id, effect.number)
+        task.cancel()
+
+    def _on_backend_restart(self) -> None:
+        self._on_cold_sign("restarted")
+
+    def _on_cold_sign(self, reason: str) -> None:
+        self._rules.on_cold_sign(self._clock.monotonic())
+        log_warning("cold", server=self._settings.node.name, reason=reason)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._tick()
+            await self._announce()
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _tick(self) -> None:
+        self._rules.tick(self._clock.monotonic())
+        self._apply_effects()
+        gate = self._rules.gate
+        for name, amount in self._rules.take_counters().items():
+            self._metrics.count(name, amount)
+        self._metrics.gauge("flows", gate.flows)
+        self._metrics.gauge("running", gate.running)
+        self._metrics.gauge("queued", self._rules.queued)
+        self._metrics.gauge("limit", gate.limit)
+        serving = gate.accepting and not self._rules.stopping
+        self._set_status(Status.ALIVE if serving else Status.DRAINING)
+
+    def _set_status(self, status: Status) -> None:
+        if status == self._status:
+            return
+        self._status = status
+        self._epoch += 1
+        self._homes.force(self._clock.monotonic())
+        log_event("status", status=status.name.lower(), epoch=self._epoch)
+
+    async def _announce(self) -> None:
+        now = self._clock.monotonic()
+        selectors = sorted(self._view.services)
+        for address, sequence, known in self._homes.due(now):
+            frame = Announce(
+                self._member(), known, sequence, self._period_ms(), selectors
+            )
+            self._announcer.sendto(seal_frame(frame, self._keys), address)
+        if self._homes.take_silence():
+            await self._rebind_announcer()
+
+    async def _rebind_announcer(self) -> None:
+        """Use a new source port, since no balancer answers on the old one."""
+        self._announcer.close()
+        host = self._settings.listen.peers[0]
+        self._announcer = await open_udp((host, 0), self._on_frame)
+        self._metrics.count("channels.rebound")
+        log_warning("announcer_rebound")
+
+    def _member(self) -> MemberState:
+        identity = self._rules.identity
+        return MemberState(
+            identity.name,
+            Role.AGENT,
+            identity.data_centre,
+            identity.address,
+            self._epoch,
+            self._status,
+        )
+
+    def _period_ms(self) -> int:
+        return int(self._homes.period * 1000)
+
+    async def _send_digests(self) -> None:
+        period = self._settings.agent.digest.total_seconds()
+        while True:
+            await asyncio.sleep(period)
+            siblings = self._rules.siblings.members
+            if not siblings:
+                continue
+            data = seal_frame(self._rules.load_digest(), self._keys)
+            for member in siblings.values():
+                self._peers.sendto(data, member.address)
+
+    async def _close_idle(self) -> None:
+        while True:
+            await asyncio.sleep(IDLE_SCAN_SECONDS)
+            await self._backend.close_idle()
+
+    async def _drain(self) -> None:
+        """Stop admitting, let requests and flows end, then leave."""
+        log_event("draining", flows=len(self._rules.flows))
+        self._rules.stopping = True
+        limit = self._settings.agent.drain_limit.total_seconds()
+        deadline = self._clock.monotonic() + limit
+        while self._rules.flows and self._clock.monotonic() < deadline:
+            await asyncio.sleep(TICK_SECONDS)
+        await self._close_flows()
+        self._set_status(Status.LEFT)
+        await self._announce()
+
+    async def _close_flows(self) -> None:
+        """Ask the callers that are left to move, and answer what they sent."""
+        if not self._rules.flows:
+            return
+        self._rules.begin_closing(self._clock.monotonic())
+        self._apply_effects()
+        await asyncio.sleep(CLOSING_SECONDS)
+        while self._rules.unfinished:
+            await asyncio.sleep(TICK_SECONDS)
+
+
+def _call(request: StartRequest, seconds: float) -> Call:
+    return Call(request.flow_id, request.number, request.service, request.body, seconds)
--- /dev/null
+++ b/src/berylturn/process/backend.py
@@ -0,0 +1,276 @@
+"""Adapter of the backend server: HTTP/1.1, one connection for each flow."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Protocol
+from urllib.parse import urlsplit
+
+import aiohttp
+
+from ..errors import ConnectError, ConnectionBroken, ShedError
+from .clock import Clock
+
+PROBE_IDLE_SECONDS = 1.0
+PROBE_TIMEOUT_SECONDS = 0.4
+STREAM_SILENT_SECONDS = 2.0
+SENTINEL_RETRY_SECONDS = 0.2
+HEADER_FLOW = "Berylturn-Flow"
+HEADER_NUMBER = "Berylturn-Request"
+HEADER_SERVICE = "Berylturn-Service"
+HEADER_DEADLINE = "Berylturn-Deadline-Ms"
+HEADER_NOT_RUN = "Berylturn-Not-Run"
+HEADER_RESUME = "Berylturn-Resume-At"
+
+
+@dataclass(frozen=True)
+class Call:
+    """Describe one request to the backend server; `seconds` is its deadline."""
+
+    flow_id: bytes
+    number: int
+    service: str
+    body: bytes
+    seconds: float
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers that identify the request."""
+        return {
+            HEADER_FLOW: self.flow_id.hex(),
+            HEADER_NUMBER: str(self.number),
+            HEADER_SERVICE: self.service,
+            HEADER_DEADLINE: str(max(0, int(self.seconds * 1000))),
+        }
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Answer of the backend server."""
+
+    status: int
+    body: bytes
+
+
+class Backend(Protocol):
+    """What an agent needs from a backend server."""
+
+    async def run(self, call: Call) -> Reply:
+        """Run one request.
+
+        Raises
+        ------
+        ConnectError
+            Nothing was written.
+        ShedError
+            The server states that it did not run the request.
+        ConnectionBroken
+            The request may have run.
+        """
+
+    def stream(self, call: Call) -> AsyncIterator[bytes]:
+        """Yield the data of a stream."""
+
+    async def cancel(self, flow_id: bytes, number: int) -> None:
+        """Withdraw a request."""
+
+    async def release(self, flow_id: bytes) -> None:
+        """Close the connection of a flow."""
+
+
+@dataclass
+class _FlowConnection:
+    session: aiohttp.ClientSession
+    used_at: float
+    active: int = 0
+
+
+class HttpBackend:
+    """Talk HTTP/1.1 to the backend server beside the agent.
+
+    Parameters
+    ----------
+    url : str
+        ``http://IP:PORT``.
+    connect_timeout, idle : timedelta
+        Longest wait for a connection; how long an unused one is kept.
+    on_restart : callable
+        Called when the server closes its sentinel connection.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        connect_timeout: timedelta,
+        idle: timedelta,
+        on_restart: Callable[[], None],
+        clock: Clock,
+    ) -> None:
+        self._url = url.rstrip("/")
+        self._connect_timeout = connect_timeout.total_seconds()
+        self._idle = idle.total_seconds()
+        self._on_restart = on_restart
+        self._clock = clock
+        self._connections: dict[bytes, _FlowConnection] = {}
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many flows hold a connection."""
+        return len(self._connections)
+
+    async def run(self, call: Call) -> Reply:
+        """Run one request on the connection of its flow."""
+        connection = await self._prepare(call.flow_id)
+        connection.active += 1
+        try:
+            return await self._post(connection.session, call)
+        finally:
+            connection.active -= 1
+            connection.used_at = self._clock.monotonic()
+
+    async def stream(self, call: Call) -> AsyncIterator[bytes]:
+        """Yield data; a connection that goes silent is replaced, resuming."""
+        sent = 0
+        while True:
+            session = self._new_session()
+            try:
+                async for data in self._stream_once(session, call, sent):
+                    if data.strip():
+                        sent += data.count(b"\n")
+                        yield data
+                return
+            except (TimeoutError, aiohttp.ClientError, OSError):
+                await asyncio.sleep(SENTINEL_RETRY_SECONDS)
+            finally:
+                await session.close()
+
+    async def cancel(self, flow_id: bytes, number: int) -> None:
+        """Withdraw a request; a failure to do so is ignored."""
+        path = f"{self._url}/cancel/{flow_id.hex()}/{number}"
+        timeout = aiohttp.ClientTimeout(total=2.0)
+        try:
+            async with (
+                self._new_session() as session,
+                session.post(path, timeout=timeout),
+            ):
+                pass
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return
+
+    async def release(self, flow_id: bytes) -> None:
+        """Close the connection of a flow."""
+        connection = self._connections.pop(flow_id, None)
+        if connection is not None:
+            await connection.session.close()
+
+    async def close_idle(self) -> None:
+        """Close the connections that have not been used for a while."""
+        now = self._clock.monotonic()
+        for flow_id, connection in list(self._connections.items()):
+            if not connection.active and now - connection.used_at > self._idle:
+                await self.release(flow_id)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for flow_id in list(self._connections):
+            await self.release(flow_id)
+
+    async def watch_restarts(self) -> None:
+        """Hold an unused connection; its end shows that the server restarted.
+
+        The server's health and load endpoints lag, the end of a connection
+        does not.
+        """
+        parts = urlsplit(self._url)
+        was_up = True
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(
+                    parts.hostname, parts.port
+                )
+            except OSError:
+                if was_up:
+                    self._on_restart()
+                was_up = False
+                await asyncio.sleep(SENTINEL_RETRY_SECONDS)
+                continue
+            was_up = True
+            try:
+                await reader.read()
+            except OSError:
+                pass
+            writer.close()
+            self._on_restart()
+
+    def _new_session(self) -> aiohttp.ClientSession:
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._connect_timeout)
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=self._idle)
+        return aiohttp.ClientSession(connector=connector, timeout=timeout)
+
+    async def _prepare(self, flow_id: bytes) -> _FlowConnection:
+        """Return a connection that has just been used or has been probed."""
+        connection = self._connections.get(flow_id)
+        if connection is None:
+            connection = _FlowConnection(self._new_session(), self._clock.monotonic())
+            self._connections[flow_id] = connection
+            return connection
+        idle = self._clock.monotonic() - connection.used_at
+        if connection.active or idle < PROBE_IDLE_SECONDS:
+            return connection
+        if await self._answers(connection.session):
+            return connection
+        await self.release(flow_id)
+        return await self._prepare(flow_id)
+
+    async def _answers(self, session: aiohttp.ClientSession) -> bool:
+        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS)
+        try:
+            async with session.get(self._url + "/health", timeout=timeout) as response:
+                await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return False
+        return True
+
+    async def _post(self, session: aiohttp.ClientSession, call: Call) -> Reply:
+        timeout = aiohttp.ClientTimeout(
+            total=max(call.seconds, 0.001), sock_connect=self._connect_timeout
+        )
+        try:
+            async with session.post(
+                self._url + "/request",
+                data=call.body,
+                headers=call.headers(),
+                timeout=timeout,
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise ConnectError(
+                f"no connection to {self._url}; check that the server runs"
+            ) from error
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise ConnectionBroken(
+                f"connection to {self._url} failed during a request: {error!r}"
+            ) from error
+        if HEADER_NOT_RUN in response.headers:
+            raise ShedError(f"{self._url} shed the request; lower its slots label")
+        return Reply(response.status, body)
+
+    async def _stream_once(
+        self, session: aiohttp.ClientSession, call: Call, sent: int
+    ) -> AsyncIterator[bytes]:
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=self._connect_timeout,
+            sock_read=STREAM_SILENT_SECONDS,
+        )
+        headers = {**call.headers(), HEADER_RESUME: str(sent)}
+        async with session.post(
+            self._url + "/stream", data=call.body, headers=headers, timeout=timeout
+        ) as response:
+            response.raise_for_status()
+            async for line in response.content:
+                yield line
--- /dev/null
+++ b/src/berylturn/process/balancer.py
@@ -0,0 +1,445 @@
+"""The balancer daemon: stateless per flow, on an entry host."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Iterable
+
+import grpc.aio
+
+from ..connection.channel import ChannelAction, ChannelMonitor
+from ..connection.frames import (
+    Announce,
+    ConfigObject,
+    GossipAck,
+    GossipPing,
+    MemberState,
+    Probe,
+    ProbeAck,
+    Role,
+    Status,
+    ToAgent,
+    ToCaller,
+    open_frame,
+    seal_frame,
+)
+from ..connection.router import Drop, Forward, Placed, Reply, route_packet
+from ..errors import AuthenticationError, PacketError, PlatformError
+from ..version.selectors import BALANCER_PREFIX
+from ..version.view import View
+from .clock import Clock, epoch_milliseconds
+from .control import (
+    ControlError,
+    ExplainedServer,
+    ExplainReply,
+    ExplainRequest,
+    Problem,
+    PullReply,
+    PullRequest,
+    StatusReply,
+    StatusRequest,
+    call_control,
+    start_control,
+)
+from .fabric import Fabric, NoFabric, UdpFabric
+from .logs import LogWriter, log_event, log_warning
+from .membership import Membership, Send
+from .metrics import Metrics
+from .neighbours import answer_announce
+from .platform import HttpPlatform, WatchResult
+from .settings import BalancerSettings, make_key_ring
+from .sockets import open_udp
+from .tasks import TaskGroup
+
+Address = tuple[str, int]
+
+TICK_SECONDS = 0.1
+PULL_EVERY_SECONDS = 0.5
+PLATFORM_RETRY_SECONDS = 0.5
+FORWARD_AFTER_WITHDRAW_SECONDS = 1.5
+JOIN_SECONDS = 0.5
+
+
+class Balancer:
+    """Own the sockets, the view and the tasks of one balancer.
+
+    Parameters
+    ----------
+    settings : BalancerSettings
+        Validated settings.
+    clock : Clock
+        Source of time.
+    logs : LogWriter
+        Writer of the log lines.
+    """
+
+    def __init__(
+        self, settings: BalancerSettings, clock: Clock, logs: LogWriter
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._logs = logs
+        self._keys = make_key_ring(settings.keys)
+        self._view = View()
+        self._membership = _new_membership(settings, clock)
+        self._metrics = Metrics(settings.metrics.statsd, settings.node.name)
+        self._platform = HttpPlatform(settings.platform.url, settings.platform.timeout)
+        self._channels = ChannelMonitor()
+        self._rebound: dict[Address, asyncio.DatagramTransport] = {}
+        self._tasks = TaskGroup()
+        self._fabric: Fabric = NoFabric()
+        self._ready = asyncio.Event()
+        self._withdrawn = False
+        self._pulled_at = -PULL_EVERY_SECONDS
+        self._directory_version = 0
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then leave without losing packets."""
+        self._tasks.stop_on_signals()
+        control = await self._open_sockets()
+        self._start_tasks()
+        await self._tasks.stop.wait()
+        await self._leave()
+        await control.stop(None)
+        await self._tasks.cancel_all()
+        self._platform.close()
+        self._logs.flush()
+        if self._tasks.failure is not None:
+            raise self._tasks.failure
+
+    async def _open_sockets(self) -> grpc.aio.Server:
+        listen = self._settings.listen
+        self._callers = await open_udp(listen.callers, self._on_caller_packet)
+        self._peers = await open_udp(listen.peers, self._on_peer_frame)
+        if self._settings.fabric.control is not None:
+            self._fabric = UdpFabric(
+                self._callers, self._settings.fabric.control, listen.callers
+            )
+        handlers = {
+            "Pull": self._serve_pull,
+            "Status": self._serve_status,
+            "Explain": self._serve_explain,
+        }
+        return await start_control(listen.control, handlers, self._settings.tls)
+
+    def _start_tasks(self) -> None:
+        self._tasks.start(self._logs.run(), "logs")
+        self._tasks.start(self._metrics.run(), "metrics")
+        self._tasks.start(self._watch_platform(), "watch")
+        self._tasks.start(self._register(), "register")
+        self._tasks.start(self._join_peers(), "join")
+        self._tasks.start(self._tick_forever(), "tick")
+        self._tasks.start(self._announce_to_fabric(), "fabric")
+
+    def _on_caller_packet(self, data: bytes, caller: Address) -> None:
+        route = route_packet(data, self._view, self._keys)
+        if type(route) is Forward:
+            self._send_to_agent(route.address, ToAgent(caller, data))
+            return
+        self._on_rare_route(route, data, caller)
+
+    def _on_rare_route(
+        self, route: Placed | Reply | Drop, data: bytes, caller: Address
+    ) -> None:
+        if isinstance(route, Placed):
+            self._send_to_agent(route.address, ToAgent(caller, data))
+            self._metrics.count("flows.placed")
+            log_event(
+                "placed",
+                flow=route.packet.flow_id.hex(),
+                service=route.packet.service,
+                attempt=route.packet.attempt,
+                server=route.candidate.name,
+                data_centre=route.candidate.data_centre,
+                candidates=route.candidates,
+            )
+        elif isinstance(route, Reply):
+            self._callers.sendto(route.data, caller)
+            self._metrics.count(f"replies.{route.reason}")
+            log_event(
+                "refused",
+                flow=route.flow_id.hex(),
+                service=route.service,
+                reason=route.reason,
+            )
+        else:
+            self._metrics.count(f"drops.{route.reason}")
+
+    def _send_to_agent(self, address: Address, frame: ToAgent | Probe) -> None:
+        transport = self._rebound.get(address, self._peers)
+        transport.sendto(seal_frame(frame, self._keys), address)
+        self._channels.on_sent(address, self._clock.monotonic())
+
+    def _on_peer_frame(self, data: bytes, source: Address) -> None:
+        try:
+            frame = open_frame(data, self._keys)
+        except (AuthenticationError, PacketError):
+            self._metrics.count("drops.unauthenticated")
+            return
+        if type(frame) is ToCaller:
+            self._channels.on_heard(source)
+            self._callers.sendto(frame.packet, frame.caller)
+            return
+        self._on_rare_frame(frame, source)
+
+    def _on_rare_frame(self, frame: object, source: Address) -> None:
+        now = self._clock.monotonic()
+        if isinstance(frame, Announce):
+            ack = answer_announce(frame, self._membership, self._view, now)
+            self._peers.sendto(seal_frame(ack, self._keys), source)
+            self._follow_members()
+        elif isinstance(frame, GossipPing):
+            self._send_all(self._membership.on_ping(frame, source, now))
+            self._after_gossip(frame)
+        elif isinstance(frame, GossipAck):
+            self._send_all(self._membership.on_ack(frame, now))
+            self._after_gossip(frame)
+        elif isinstance(frame, Probe):
+            self._send_all([Send(source, ProbeAck(frame.sequence))])
+        elif isinstance(frame, ProbeAck):
+            self._channels.on_heard(source)
+
+    def _send_all(self, sends: Iterable[Send]) -> None:
+        for send in sends:
+            self._peers.sendto(seal_frame(send.frame, self._keys), send.address)
+
+    def _after_gossip(self, frame: GossipPing | GossipAck) -> None:
+        self._follow_members()
+        membership = self._membership
+        same_members = frame.member_digest == membership.digest()
+        same_objects = frame.config_digest == membership.config_digest
+        now = self._clock.monotonic()
+        due = now - self._pulled_at > PULL_EVERY_SECONDS
+        if due and frame.sender.control and not (same_members and same_objects):
+            self._pulled_at = now
+            self._tasks.spawn(self._pull(frame.sender.control))
+
+    def _follow_members(self) -> None:
+        for member in self._membership.take_changes():
+            if member.role == Role.AGENT:
+                self._view.set_agent(member)
+            log_event(
+                "member",
+                member=member.name,
+                role=Role(member.role).name.lower(),
+                status=Status(member.status).name.lower(),
+                epoch=member.epoch,
+                data_centre=member.data_centre,
+            )
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            now = self._clock.monotonic()
+            self._send_all(self._membership.tick(now))
+            self._follow_members()
+            await self._tick_channels(now)
+
+    async def _tick_channels(self, now: float) -> None:
+        for address, action in self._channels.tick(now):
+            if action is ChannelAction.REBIND:
+                await self._rebind(address)
+            self._send_to_agent(address, Probe(0))
+        silent = self._channels.unreachable(now)
+        names = {n for n, a in self._view.agents.items() if a.address in silent}
+        self._view.set_unreachable(names)
+
+    async def _rebind(self, address: Address) -> None:
+        """Use a new source port towards one agent."""
+        old = self._rebound.pop(address, None)
+        if old is not None:
+            old.close()
+        host = self._settings.listen.peers[0]
+        self._rebound[address] = await open_udp((host, 0), self._on_peer_frame)
+        self._metrics.count("channels.rebound")
+        log_warning("channel_rebound", address=f"{address[0]}:{address[1]}")
+
+    async def _watch_platform(self) -> None:
+        revision = -1
+        while True:
+            try:
+                if revision < 0:
+                    result = await self._platform.list()
+                else:
+                    wait = self._settings.platform.watch
+                    result = await self._platform.watch(revision, wait)
+            except PlatformError as error:
+                self._metrics.count("platform.errors")
+                log_warning("platform_unavailable", error=str(error))
+                await asyncio.sleep(PLATFORM_RETRY_SECONDS)
+                continue
+            revision = max(revision, result.revision)
+            self._take_objects(result)
+
+    def _take_objects(self, result: WatchResult | PullReply) -> None:
+        for change in self._view.apply(result.objects):
+            self._metrics.count("config.changes")
+            log_event(
+                "config",
+                object=change.name,
+                version=change.version,
+                problem=change.problem,
+            )
+        self._membership.config_digest = self._view.store.digest()
+        self._merge_directory(result.objects)
+        self._ready.set()
+
+    def _merge_directory(self, objects: list[ConfigObject]) -> None:
+        found = [o for o in objects if o.name.startswith(BALANCER_PREFIX) and o.body]
+        members = [_member_from_directory(o) for o in found]
+        now = self._clock.monotonic()
+        self._membership.merge([m for m in members if m is not None], now)
+        self._follow_members()
+
+    async def _register(self) -> None:
+        """Write this balancer into the platform's directory."""
+        name = BALANCER_PREFIX + self._settings.node.name
+        me = self._membership.me
+        body = json.dumps(
+            {
+                "data_centre": me.data_centre,
+                "peers": list(me.address),
+                "control": me.control,
+                "epoch": me.epoch,
+            }
+        ).encode()
+        while True:
+            await self._ready.wait()
+            expected = self._live_version(name)
+            try:
+                self._directory_version = await self._platform.put(name, body, expected)
+                return
+            except PlatformError as error:
+                log_warning("registration_failed", error=str(error))
+                await asyncio.sleep(PLATFORM_RETRY_SECONDS)
+
+    def _live_version(self, name: str) -> int:
+        known = self._view.store.get(name)
+        return known.version if known is not None and known.body is not None else 0
+
+    async def _join_peers(self) -> None:
+        """Learn members and configuration from seeds, platform up or not."""
+        seeds = [a for a in self._settings.peers.seeds if a != self._me_address()]
+        ping = GossipPing(0, self._membership.me, [], b"", b"")
+        while seeds and not self._ready.is_set():
+            self._send_all([Send(address, ping) for address in seeds])
+            await asyncio.sleep(JOIN_SECONDS)
+
+    def _me_address(self) -> Address:
+        return self._membership.me.address
+
+    async def _pull(self, target: str) -> None:
+        request = PullRequest(
+            self._view.store.bucket_digests(), self._membership.bucket_digests()
+        )
+        try:
+            reply = await call_control(target, "Pull", request, self._settings.tls)
+        except ControlError as error:
+            log_warning("pull_failed", error=str(error))
+            return
+        self._metrics.count("gossip.pulls")
+        self._membership.merge(reply.members, self._clock.monotonic())
+        self._follow_members()
+        if reply.objects or len(self._view.store):
+            self._take_objects(reply)
+
+    async def _announce_to_fabric(self) -> None:
+        period = self._settings.fabric.period.total_seconds()
+        while True:
+            await self._ready.wait()
+            out = self._view.data_centre_out(self._settings.node.data_centre)
+            if out or self._withdrawn:
+                self._fabric.withdraw()
+            else:
+                self._fabric.announce()
+            await asyncio.sleep(period)
+
+    async def _leave(self) -> None:
+        """Withdraw, forward what still arrives, then say goodbye."""
+        log_event("leaving")
+        self._withdrawn = True
+        self._fabric.withdraw()
+        if self._directory_version:
+            self._tasks.spawn(self._unregister())
+        await asyncio.sleep(FORWARD_AFTER_WITHDRAW_SECONDS)
+        self._send_all(self._membership.leave(self._clock.monotonic()))
+        self._follow_members()
+
+    async def _unregister(self) -> None:
+        name = BALANCER_PREFIX + self._settings.node.name
+        try:
+            await self._platform.delete(name, self._directory_version)
+        except PlatformError as error:
+            log_warning("unregistration_failed", error=str(error))
+
+    async def _serve_pull(self, request: PullRequest) -> PullReply:
+        store = self._view.store
+        differing = _differing(request.object_buckets, store.bucket_digests())
+        objects = store.in_buckets(differing)
+        differing = _differing(
+            request.member_buckets, self._membership.bucket_digests()
+        )
+        return PullReply(objects, self._membership.bucket_members(differing))
+
+    async def _serve_status(self, request: StatusRequest) -> StatusReply:
+        view = self._view
+        problems = [
+            Problem(p.name, p.version, p.problem) for p in view.problems.values()
+        ]
+        return StatusReply(
+            self._settings.node.name,
+            self._settings.node.data_centre,
+            view.store.version(request.name),
+            problems,
+            self._membership.live(Role.BALANCER),
+            list(view.agents.values()),
+            {name: sorted(s.servers) for name, s in view.services.items()},
+            self._metrics.totals,
+        )
+
+    async def _serve_explain(self, request: ExplainRequest) -> ExplainReply:
+        service = self._view.services.get(request.service)
+        if service is None:
+            return ExplainReply(request.service, False, "", 0, [])
+        servers = [
+            ExplainedServer(e.name, e.data_centre, e.share, e.verdict)
+            for e in self._view.explain(request.service)
+        ]
+        return ExplainReply(
+            request.service, True, service.selector.address, service.version, servers
+        )
+
+
+def _new_membership(settings: BalancerSettings, clock: Clock) -> Membership:
+    listen = settings.listen
+    me = MemberState(
+        settings.node.name,
+        Role.BALANCER,
+        settings.node.data_centre,
+        listen.advertise or listen.peers,
+        epoch_milliseconds(clock),
+        Status.ALIVE,
+        f"{listen.control[0]}:{listen.control[1]}",
+    )
+    return Membership(me, clock.monotonic(), seed=me.epoch)
+
+
+def _member_from_directory(item: ConfigObject) -> MemberState | None:
+    try:
+        body = json.loads(item.body or b"")
+        return MemberState(
+            item.name.removeprefix(BALANCER_PREFIX),
+            Role.BALANCER,
+            body["data_centre"],
+            (body["peers"][0], body["peers"][1]),
+            body["epoch"],
+            Status.ALIVE,
+            body["control"],
+        )
+    except (ValueError, KeyError, IndexError, TypeError):
+        return None
+
+
+def _differing(theirs: list[int], ours: list[int]) -> set[int]:
+    return {i for i, value in enumerate(ours) if theirs[i : i + 1] != [value]}
--- /dev/null
+++ b/src/berylturn/process/neighbours.py
@@ -0,0 +1,84 @@
+"""What a balancer tells an agent: balancers, siblings and configuration."""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+
+from ..connection.frames import (
+    Announce,
+    AnnounceAck,
+    ConfigObject,
+    MemberState,
+    Role,
+    Status,
+)
+from ..version.view import View
+from .membership import Membership
+
+MAX_BALANCERS = 8
+MAX_SIBLINGS = 8
+DIGEST_BYTES = 8
+
+
+def answer_announce(
+    announce: Announce, membership: Membership, view: View, now: float
+) -> AnnounceAck:
+    """Note an agent's announcement and return what it should know."""
+    agent = announce.member
+    known = membership.on_announce(agent, announce.period_ms / 1000, now)
+    balancers = choose_balancers(membership, agent)
+    siblings = choose_siblings(view, agent.name)
+    objects = view.objects_for_agent(agent.name, agent.data_centre, announce.selectors)
+    digest = digest_neighbours(balancers, siblings, objects)
+    if digest == announce.known:
+        balancers, siblings, objects = [], [], []
+    return AnnounceAck(
+        announce.sequence,
+        known.status,
+        known.epoch,
+        digest,
+        balancers,
+        siblings,
+        objects,
+    )
+
+
+def choose_balancers(membership: Membership, agent: MemberState) -> list[MemberState]:
+    """Return some live balancers, those of the agent's data centre first."""
+    live = [m for m in membership.live(Role.BALANCER) if m.status == Status.ALIVE]
+    ranked = sorted(
+        live, key=lambda m: (m.data_centre != agent.data_centre, _mix(m, agent))
+    )
+    return ranked[:MAX_BALANCERS]
+
+
+def choose_siblings(view: View, server: str) -> list[MemberState]:
+    """Return the agents of the same services, a bounded ring of them."""
+    names = set()
+    for service in view.services_of(server):
+        names |= view.services[service].servers
+    names.discard(server)
+    ordered = sorted(name for name in names if name in view.agents)
+    start = sum(name < server for name in ordered)
+    ring = ordered[start:] + ordered[:start]
+    half = MAX_SIBLINGS // 2
+    chosen = ring if len(ring) <= MAX_SIBLINGS else ring[:half] + ring[-half:]
+    return [view.agents[name] for name in chosen]
+
+
+def digest_neighbours(
+    balancers: list[MemberState],
+    siblings: list[MemberState],
+    objects: list[ConfigObject],
+) -> bytes:
+    """Return a short digest of what an acknowledgement tells."""
+    versions = [(item.name, item.version) for item in objects]
+    content = msgspec.msgpack.encode((balancers, siblings, versions))
+    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
+
+
+def _mix(balancer: MemberState, agent: MemberState) -> bytes:
+    data = f"{balancer.name}\0{agent.name}".encode()
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
--- /dev/null
+++ b/src/berylturn/process/platform.py
@@ -0,0 +1,222 @@
+"""Client of the platform's object API over HTTP and JSON.
+
+The standard library's client in a thread is used instead of aiohttp, since it
+keeps a balancer 12 MB smaller (docs/CAPACITY.md).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import http.client
+import json
+import secrets
+from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any, Protocol
+from urllib.parse import quote, urlsplit
+
+from ..connection.frames import ConfigObject
+from ..errors import (
+    ObjectNotFound,
+    PlatformError,
+    PlatformUnavailable,
+    VersionConflict,
+)
+
+MAX_ATTEMPTS = 4
+FIRST_RETRY_SECONDS = 0.2
+
+
+@dataclass(frozen=True)
+class WatchResult:
+    """Changes since a revision, deletions included."""
+
+    revision: int
+    objects: list[ConfigObject]
+
+
+class Platform(Protocol):
+    """The calls that berylturn needs from the platform."""
+
+    async def get(self, name: str) -> ConfigObject:
+        """Return one object or raise `ObjectNotFound`."""
+
+    async def list(self, prefix: str = "") -> WatchResult:
+        """Return all objects whose name starts with `prefix`."""
+
+    async def put(self, name: str, body: bytes, expected: int) -> int:
+        """Write if the version is `expected` (0: absent); return the new one."""
+
+    async def delete(self, name: str, expected: int) -> int:
+        """Delete if the version is `expected`; return the tombstone's version."""
+
+    async def watch(self, since: int, wait: timedelta) -> WatchResult:
+        """Wait for changes after revision `since`."""
+
+
+class HttpPlatform:
+    """Talk to the object API; one connection for each call.
+
+    Parameters
+    ----------
+    url : str
+        ``http://IP:PORT``.
+    timeout : timedelta
+        Longest wait for an answer.
+    """
+
+    def __init__(self, url: str, timeout: timedelta) -> None:
+        parts = urlsplit(url)
+        self._host = parts.hostname or ""
+        self._port = parts.port or 80
+        self._timeout = timeout.total_seconds()
+        self._threads = ThreadPoolExecutor(max_workers=3, thread_name_prefix="platform")
+
+    def close(self) -> None:
+        """Stop waiting for calls in progress."""
+        self._threads.shutdown(wait=False, cancel_futures=True)
+
+    async def get(self, name: str) -> ConfigObject:
+        """Return one object or raise `ObjectNotFound`."""
+        reply = await self._call("GET", _path(name))
+        return _object(reply)
+
+    async def list(self, prefix: str = "") -> WatchResult:
+        """Return all objects whose name starts with `prefix`."""
+        reply = await self._call("GET", f"/objects?prefix={quote(prefix, safe='')}")
+        return _watch_result(reply)
+
+    async def put(self, name: str, body: bytes, expected: int) -> int:
+        """Write conditionally; a lost answer is settled by reading back."""
+        content = {"body": base64.b64encode(body).decode(), "expected": expected}
+        return await self._change("PUT", name, content)
+
+    async def delete(self, name: str, expected: int) -> int:
+        """Delete conditionally; a lost answer is settled by reading back."""
+        return await self._change("DELETE", name, {"expected": expected})
+
+    async def watch(self, since: int, wait: timedelta) -> WatchResult:
+        """Wait for changes after revision `since`."""
+        seconds = wait.total_seconds()
+        path = f"/watch?since={since}&wait={seconds}"
+        reply = await self._call("GET", path, extra_wait=seconds)
+        return _watch_result(reply)
+
+    async def _change(self, method: str, name: str, content: dict[str, Any]) -> int:
+        change_id = secrets.token_hex(8)
+        content = {**content, "change_id": change_id}
+        for attempt in range(MAX_ATTEMPTS):
+            try:
+                return (await self._call(method, _path(name), content))["version"]
+            except (PlatformUnavailable, VersionConflict) as error:
+                version = await self._settle(name, content, error)
+            if version:
+                return version
+            await asyncio.sleep(FIRST_RETRY_SECONDS * 2**attempt)
+        raise PlatformUnavailable(
+            f"the platform did not confirm the change of {name}; its outcome is "
+            "unknown: look at the object before you try again"
+        )
+
+    async def _settle(
+        self, name: str, content: dict[str, Any], error: PlatformError
+    ) -> int:
+        """Return the version if the change took effect, 0 while that is open.
+
+        As long as the object has the expected version, a change that was sent
+        may still take effect, so it is neither a success nor a conflict.
+        """
+        try:
+            reply = await self._call("GET", f"{_path(name)}?deleted=1")
+        except ObjectNotFound:
+            reply = {"change_id": "", "version": 0, "body": None}
+        except PlatformUnavailable:
+            return 0
+        if reply["change_id"] == content["change_id"]:
+            return reply["version"]
+        live_version = 0 if reply["body"] is None else reply["version"]
+        if live_version != content["expected"] or isinstance(error, VersionConflict):
+            raise VersionConflict(
+                f"{name} has version {live_version} now; read it and try again"
+            )
+        return 0
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        content: dict[str, Any] | None = None,
+        extra_wait: float = 0.0,
+    ) -> dict[str, Any]:
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(
+            self._threads, self._call_blocking, method, path, content, extra_wait
+        )
+
+    def _call_blocking(
+        self, method: str, path: str, content: Any, extra_wait: float
+    ) -> dict[str, Any]:
+        timeout = self._timeout + extra_wait
+        connection = http.client.HTTPConnection(self._host, self._port, timeout=timeout)
+        try:
+            body = None if content is None else json.dumps(content)
+            connection.request(method, path, body=body)
+            response = connection.getresponse()
+            data = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            raise PlatformUnavailable(
+                f"the platform at {self._host}:{self._port} does not answer "
+                f"({error!r}); check its address, then try again"
+            ) from error
+        finally:
+            connection.close()
+        return _check_reply(response.status, data, path)
+
+
+async def write_object(
+    platform: Platform, name: str, body: bytes, expected: int | None = None
+) -> int:
+    """Write an object over the version that is read first, when none is given."""
+    if expected is None:
+        expected = await current_version(platform, name)
+    return await platform.put(name, body, expected)
+
+
+async def current_version(platform: Platform, name: str) -> int:
+    """Return the version of an object, 0 when it does not exist."""
+    try:
+        return (await platform.get(name)).version
+    except ObjectNotFound:
+        return 0
+
+
+def _check_reply(status: int, data: bytes, path: str) -> dict[str, Any]:
+    if status == 404:
+        raise ObjectNotFound(f"{path} does not exist; list the objects to see names")
+    if status == 409:
+        raise VersionConflict(f"{path} was changed meanwhile; read it and try again")
+    if status != 200:
+        raise PlatformUnavailable(f"the platform answered {status}; try again later")
+    try:
+        return json.loads(data)
+    except ValueError as error:
+        raise PlatformUnavailable("the platform sent no JSON; check its URL") from error
+
+
+def _path(name: str) -> str:
+    return "/objects/" + quote(name, safe="")
+
+
+def _object(item: dict[str, Any]) -> ConfigObject:
+    body = item["body"]
+    return ConfigObject(
+        item["name"], item["version"], None if body is None else base64.b64decode(body)
+    )
+
+
+def _watch_result(reply: dict[str, Any]) -> WatchResult:
+    objects: Iterable[dict[str, Any]] = reply["objects"]
+    return WatchResult(reply["revision"], [_object(item) for item in objects])
--- /dev/null
+++ b/src/berylturn/process/sockets.py
@@ -0,0 +1,43 @@
+"""UDP sockets on the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from ..errors import SettingsError
+
+Address = tuple[str, int]
+Receiver = Callable[[bytes, Address], None]
+
+BUFFER_BYTES = 4_000_000
+
+
+class _Protocol(asyncio.DatagramProtocol):
+    def __init__(self, receiver: Receiver) -> None:
+        self.datagram_received = receiver
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore errors of single datagrams; retransmission covers them."""
+
+
+async def open_udp(address: Address, receiver: Receiver) -> asyncio.DatagramTransport:
+    """Return a bound socket that hands each datagram to `receiver`."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+    sock.setblocking(False)
+    try:
+        sock.bind(address)
+    except OSError as error:
+        sock.close()
+        raise SettingsError(
+            f"cannot listen on {address[0]}:{address[1]} ({error.strerror}); "
+            "choose a free port"
+        ) from error
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        lambda: _Protocol(receiver), sock=sock
+    )
+    return transport
--- /dev/null
+++ b/src/berylturn/process/tasks.py
@@ -0,0 +1,53 @@
+"""Tasks of a daemon: start, watch over and stop them together."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Coroutine
+from typing import Any
+
+from .logs import log_warning
+
+
+class TaskGroup:
+    """Own the long-running tasks of a process; a failed one stops it."""
+
+    def __init__(self) -> None:
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._passing: set[asyncio.Task[Any]] = set()
+        self.stop = asyncio.Event()
+        self.failure: BaseException | None = None
+
+    def start(self, coroutine: Coroutine[Any, Any, Any], name: str) -> None:
+        """Run a task for the whole life of the process."""
+        task = asyncio.create_task(coroutine, name=name)
+        task.add_done_callback(self._on_done)
+        self._tasks.append(task)
+
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run a task that ends by itself."""
+        task = asyncio.create_task(coroutine)
+        self._passing.add(task)
+        task.add_done_callback(self._passing.discard)
+        return task
+
+    def stop_on_signals(self) -> None:
+        """Set `stop` on SIGTERM and SIGINT."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop.set)
+
+    async def cancel_all(self) -> None:
+        """Cancel all tasks and wait for them."""
+        tasks = [*self._tasks, *self._passing]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _on_done(self, task: asyncio.Task[Any]) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        self.failure = task.exception()
+        log_warning("task_failed", task=task.get_name(), error=repr(self.failure))
+        self.stop.set()
--- /dev/null
+++ b/src/berylturn/request/ledger.py
@@ -0,0 +1,148 @@
+"""Record of the requests of one flow; runs each number at most once."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..connection.packets import RefusalReason
+
+MAX_ENTRIES = 256
+
+
+class Verdict(Enum):
+    """Say what to do with a request that has arrived."""
+
+    RUN = "run"
+    RUNNING = "running"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class Answered:
+    """Outcome of a request that ran; `parts` are the parts of the answer."""
+
+    status: int
+    parts: list[bytes]
+
+    @property
+    def size(self) -> int:
+        """Return the kept bytes."""
+        return sum(map(len, self.parts))
+
+
+@dataclass(frozen=True)
+class DidNotRun:
+    """Outcome of a request that certainly did not run."""
+
+    reason: RefusalReason
+    retry_after_ms: int = 0
+    size: int = 0
+
+
+@dataclass(frozen=True)
+class MayHaveRun:
+    """Outcome of a request whose fate is not known, or whose answer is gone."""
+
+    size: int = 0
+
+
+Outcome = Answered | DidNotRun | MayHaveRun
+
+
+@dataclass
+class Ledger:
+    """Decide what happens to each request number of one flow.
+
+    Numbers below `floor` that are not listed are forgotten: they are never
+    run, and a duplicate of one gets an unknown outcome.
+
+    Examples
+    --------
+    >>> ledger = Ledger()
+    >>> ledger.offer(0), ledger.offer(0)
+    (<Verdict.RUN: 'run'>, <Verdict.RUNNING: 'running'>)
+    >>> ledger.finish(0, Answered(200, [b"ok"]))
+    >>> ledger.offer(0)
+    <Verdict.FINISHED: 'finished'>
+    """
+
+    _floor: int = 0
+    _running: set[int] = field(default_factory=set)
+    _finished: dict[int, Outcome] = field(default_factory=dict)
+
+    @property
+    def floor(self) -> int:
+        """Return the number below which nothing new runs."""
+        return self._floor
+
+    @property
+    def running(self) -> frozenset[int]:
+        """Return the numbers that have not finished."""
+        return frozenset(self._running)
+
+    @property
+    def finished(self) -> dict[int, Outcome]:
+        """Return a copy of the kept outcomes by number."""
+        return dict(self._finished)
+
+    @property
+    def size(self) -> int:
+        """Return the bytes of the kept answers."""
+        return sum(outcome.size for outcome in self._finished.values())
+
+    def is_new(self, number: int) -> bool:
+        """Tell whether `number` would run if it were offered."""
+        known = number in self._running or number in self._finished
+        return not known and number >= self._floor
+
+    def offer(self, number: int) -> Verdict:
+        """Say what to do with `number`; after `RUN` it counts as running."""
+        if number in self._running:
+            return Verdict.RUNNING
+        if number in self._finished:
+            return Verdict.FINISHED
+        if number < self._floor:
+            return Verdict.UNKNOWN
+        self._running.add(number)
+        return Verdict.RUN
+
+    def outcome(self, number: int) -> Outcome:
+        """Return the kept outcome, or an unknown one."""
+        return self._finished.get(number, MayHaveRun())
+
+    def finish(self, number: int, outcome: Outcome) -> None:
+        """Keep the outcome of a running number; a second one is ignored."""
+        if number not in self._running:
+            return
+        self._running.discard(number)
+        self._finished[number] = outcome
+        if len(self._finished) > MAX_ENTRIES:
+            self._forget_oldest()
+
+    def advance(self, low_water: int) -> None:
+        """Forget outcomes below `low_water`, which the caller has received."""
+        if low_water <= self._floor:
+            return
+        self._floor = low_water
+        for number in [n for n in self._finished if n < low_water]:
+            del self._finished[number]
+
+    def drop_answers(self) -> int:
+        """Forget kept answers but not that they ran; return the bytes freed."""
+        freed = self.size
+        for number, outcome in self._finished.items():
+            if isinstance(outcome, Answered):
+                self._finished[number] = MayHaveRun()
+        return freed
+
+    def restore(self, floor: int, finished: dict[int, Outcome]) -> None:
+        """Take over the marks of a predecessor."""
+        self._floor = floor
+        self._finished = dict(finished)
+
+    def _forget_oldest(self) -> None:
+        oldest = min(self._finished)
+        del self._finished[oldest]
+        self._floor = max(self._floor, oldest + 1)
--- /dev/null
+++ b/src/berylturn/version/view.py
@@ -0,0 +1,286 @@
+"""One node's view: configuration in force, joined with the live members."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ..connection.frames import ConfigObject, MemberState, Role, Status
+from ..connection.gate import Limits, limits_from_labels
+from ..errors import SelectorError
+from .objects import ObjectStore
+from .placement import Candidate, DataCentreChoice, PlacementTable
+from .selectors import (
+    DATA_CENTRE_PREFIX,
+    DATA_CENTRE_STATES,
+    SELECTOR_PREFIX,
+    SERVER_PREFIX,
+    SERVER_STATES,
+    Selector,
+    parse_labels,
+    parse_selector,
+)
+
+
+@dataclass(frozen=True)
+class ConfigChange:
+    """Report how one object was taken; `problem` is empty when it is in force."""
+
+    name: str
+    version: int
+    problem: str = ""
+
+
+@dataclass(frozen=True)
+class Explanation:
+    """Tell how one backend server takes part in a service.
+
+    Attributes
+    ----------
+    share : float
+        Percent of new flows that placement sends to it.
+    verdict : str
+        Why it takes flows or not.
+    """
+
+    name: str
+    data_centre: str
+    share: float
+    verdict: str
+
+
+@dataclass
+class Service:
+    """Join a selector with the backend servers that it matches."""
+
+    selector: Selector
+    version: int
+    servers: set[str] = field(default_factory=set)
+    table: PlacementTable | None = None
+
+
+@dataclass
+class View:
+    """Hold what one balancer knows, and build placement tables on demand."""
+
+    store: ObjectStore = field(default_factory=ObjectStore)
+    _labels: dict[str, dict[str, str]] = field(default_factory=dict)
+    _data_centres: dict[str, dict[str, str]] = field(default_factory=dict)
+    _services: dict[str, Service] = field(default_factory=dict)
+    _agents: dict[str, MemberState] = field(default_factory=dict)
+    _problems: dict[str, ConfigChange] = field(default_factory=dict)
+    _unreachable: set[str] = field(default_factory=set)
+
+    @property
+    def services(self) -> dict[str, Service]:
+        """Return the services in force by name."""
+        return self._services
+
+    @property
+    def agents(self) -> dict[str, MemberState]:
+        """Return the known agents by name."""
+        return self._agents
+
+    @property
+    def problems(self) -> dict[str, ConfigChange]:
+        """Return the refused objects by name."""
+        return self._problems
+
+    def apply(self, objects: Iterable[ConfigObject]) -> list[ConfigChange]:
+        """Merge objects and put the valid ones in force."""
+        return [self._apply_one(item) for item in self.store.merge(objects)]
+
+    def set_agent(self, member: MemberState) -> None:
+        """Put the state of one agent in force."""
+        known = self._agents.get(member.name)
+        if member.status in (Status.DEAD, Status.LEFT):
+            self._agents.pop(member.name, None)
+        else:
+            self._agents[member.name] = member
+        if known is None:
+            self._match_server(member.name)
+        self._invalidate(member.name)
+
+    def set_unreachable(self, names: set[str]) -> None:
+        """Name the agents that this node cannot reach itself."""
+        changed = names ^ self._unreachable
+        self._unreachable = set(names)
+        for name in changed:
+            self._invalidate(name)
+
+    def data_centre_out(self, name: str) -> bool:
+        """Tell whether a data centre is taken out."""
+        return self._data_centres.get(name, {}).get("state") == "out"
+
+    def labels(self, server: str) -> dict[str, str]:
+        """Return the labels in force of a backend server."""
+        return self._labels.get(server, {})
+
+    def limits(self, server: str) -> Limits:
+        """Return the limits that the labels of a backend server state."""
+        return limits_from_labels(self.labels(server))
+
+    def services_of(self, server: str) -> list[str]:
+        """Return the names of the services that a backend server serves."""
+        return sorted(n for n, s in self._services.items() if server in s.servers)
+
+    def table(self, service: str) -> PlacementTable | None:
+        """Return the placement table, or None for an unknown service."""
+        entry = self._services.get(service)
+        if entry is None:
+            return None
+        if entry.table is None:
+            entry.table = self._build_table(entry)
+        return entry.table
+
+    def objects_for_agent(
+        self, server: str, data_centre: str, held: list[str]
+    ) -> list[ConfigObject]:
+        """Return the objects that the agent beside `server` needs.
+
+        The selectors that it holds already (`held`) are included, so that it
+        learns when one no longer matches or is deleted.
+        """
+        names = [SERVER_PREFIX + server, DATA_CENTRE_PREFIX + data_centre]
+        services = sorted({*self.services_of(server), *held})
+        names += [SELECTOR_PREFIX + name for name in services]
+        found = [self.store.get(name) for name in names]
+        return [item for item in found if item is not None]
+
+    def explain(self, service: str) -> list[Explanation]:
+        """Return how each matching backend server takes part in a service."""
+        table = self.table(service) or PlacementTable()
+        shares = _candidate_shares(table)
+        return [
+            self._explain_server(name, shares)
+            for name in sorted(self._services[service].servers)
+        ]
+
+    def _explain_server(self, name: str, shares: dict[str, float]) -> Explanation:
+        agent = self._agents.get(name)
+        if agent is None:
+            return Explanation(name, "", 0.0, "no agent has announced it")
+        if name in shares:
+            verdict = "takes new flows"
+        elif self.data_centre_out(agent.data_centre):
+            verdict = "its data centre is out"
+        elif not self._may_take_flows(agent):
+            verdict = "draining"
+        elif not self._seems_healthy(agent):
+            verdict = "suspected or unreachable"
+        else:
+            verdict = "its data centre has no share"
+        return Explanation(name, agent.data_centre, shares.get(name, 0.0), verdict)
+
+    def _apply_one(self, item: ConfigObject) -> ConfigChange:
+        kind, _, name = item.name.partition("/")
+        try:
+            if kind + "/" == SERVER_PREFIX:
+                self._apply_labels(name, item)
+            elif kind + "/" == DATA_CENTRE_PREFIX:
+                self._apply_data_centre(name, item)
+            elif kind + "/" == SELECTOR_PREFIX:
+                self._apply_selector(name, item)
+        except SelectorError as error:
+            change = ConfigChange(item.name, item.version, str(error))
+            self._problems[item.name] = change
+            return change
+        self._problems.pop(item.name, None)
+        return ConfigChange(item.name, item.version)
+
+    def _apply_labels(self, server: str, item: ConfigObject) -> None:
+        if item.body is None:
+            self._labels.pop(server, None)
+        else:
+            self._labels[server] = parse_labels(item.body, SERVER_STATES)
+        self._match_server(server)
+        self._invalidate(server)
+
+    def _apply_data_centre(self, name: str, item: ConfigObject) -> None:
+        if item.body is None:
+            self._data_centres.pop(name, None)
+        else:
+            self._data_centres[name] = parse_labels(item.body, DATA_CENTRE_STATES)
+        for entry in self._services.values():
+            entry.table = None
+
+    def _apply_selector(self, name: str, item: ConfigObject) -> None:
+        if item.body is None:
+            self._services.pop(name, None)
+            return
+        selector = parse_selector(item.body)
+        if selector.service != name:
+            raise SelectorError(f"object {name} holds service {selector.service}")
+        for other in self._services.values():
+            if other.selector.address == selector.address and (
+                other.selector.service != name
+            ):
+                raise SelectorError(
+                    f"address {selector.address} belongs to service "
+                    f"{other.selector.service}; choose another"
+                )
+        entry = Service(selector, item.version)
+        entry.servers = {n for n, lab in self._labels.items() if selector.matches(lab)}
+        self._services[name] = entry
+
+    def _match_server(self, server: str) -> None:
+        labels = self._labels.get(server)
+        for entry in self._services.values():
+            was_in = server in entry.servers
+            is_in = labels is not None and entry.selector.matches(labels)
+            if was_in == is_in:
+                continue
+            entry.table = None
+            if is_in:
+                entry.servers.add(server)
+            else:
+                entry.servers.discard(server)
+
+    def _invalidate(self, server: str) -> None:
+        for entry in self._services.values():
+            if server in entry.servers:
+                entry.table = None
+
+    def _build_table(self, entry: Service) -> PlacementTable:
+        eligible = [self._agents[n] for n in entry.servers if n in self._agents]
+        eligible = [a for a in eligible if self._may_take_flows(a)]
+        healthy = [a for a in eligible if self._seems_healthy(a)]
+        by_data_centre: dict[str, list[Candidate]] = {}
+        for agent in sorted(healthy or eligible, key=lambda a: a.name):
+            weight = self.limits(agent.name).weight
+            by_data_centre.setdefault(agent.data_centre, []).append(
+                Candidate(agent.name, agent.data_centre, agent.address, weight)
+            )
+        return _table_with_shares(by_data_centre, entry.selector.shares)
+
+    def _may_take_flows(self, agent: MemberState) -> bool:
+        if agent.status == Status.DRAINING or agent.role != Role.AGENT:
+            return False
+        if self.labels(agent.name).get("state") == "drain":
+            return False
+        return not self.data_centre_out(agent.data_centre)
+
+    def _seems_healthy(self, agent: MemberState) -> bool:
+        return agent.status == Status.ALIVE and agent.name not in self._unreachable
+
+
+def _candidate_shares(table: PlacementTable) -> dict[str, float]:
+    total = sum(choice.share for choice in table.choices)
+    shares = {}
+    for choice in table.choices:
+        weight = sum(c.weight for c in choice.candidates)
+        for candidate in choice.candidates:
+            part = candidate.weight / weight * choice.share / total
+            shares[candidate.name] = round(100 * part, 2)
+    return shares
+
+
+def _table_with_shares(
+    by_data_centre: dict[str, list[Candidate]], shares: dict[str, int]
+) -> PlacementTable:
+    choices = []
+    for name, candidates in sorted(by_data_centre.items()):
+        share = shares.get(name, 0) if shares else sum(c.weight for c in candidates)
+        if share > 0:
+            choices.append(DataCentreChoice(name, float(share), tuple(candidates)))
+    return PlacementTable(tuple(choices))
--- /dev/null
+++ b/src/berylturn_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems that berylturn talks to."""
--- /dev/null
+++ b/src/berylturn_standins/backend.py
@@ -0,0 +1,238 @@
+"""Stand-in of an old backend server: few slots, cold starts, a record of work."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import hashlib
+import json
+import time
+from dataclasses import dataclass
+
+import fire
+from aiohttp import web
+
+from .serving import run_until_signal, serve_http
+
+COLD_SLOWDOWN = 2.0
+FALL_OVER_SECONDS = 0.5
+STREAM_KEEPALIVE_SECONDS = 0.5
+LAG_SECONDS = 2.0
+
+
+@dataclass(frozen=True)
+class Shape:
+    """What the server bears.
+
+    Attributes
+    ----------
+    slots, cold_limit, connections : int
+        Requests at once when warm and when cold; connections at once.
+    speed : float
+        Divides the work of a request.
+    cold_seconds : float
+        Time in cold start after each start.
+    """
+
+    service: str
+    slots: int
+    cold_limit: int
+    connections: int
+    speed: float
+    cold_seconds: float
+
+
+def answer_body(request_id: str, size: int) -> bytes:
+    """Return the one right answer to a request, `size` bytes long."""
+    block = hashlib.sha256(request_id.encode()).hexdigest().encode()
+    return (block * (size // len(block) + 1))[:size]
+
+
+class BackendStandIn:
+    """Serve requests and streams, and remember every execution."""
+
+    def __init__(self, shape: Shape) -> None:
+        self._shape = shape
+        self._cold_until = time.monotonic() + shape.cold_seconds
+        self._running = 0
+        self._tasks: dict[str, asyncio.Task] = {}
+        self._runner: web.AppRunner | None = None
+        self._down = False
+        self._lagging: collections.deque[tuple[float, int]] = collections.deque()
+        self.executions: collections.Counter[str] = collections.Counter()
+        self.max_running = 0
+        self.max_cold_running = 0
+        self.cold_overloads = 0
+        self.shed = 0
+        self.crossed = 0
+        self.cancelled = 0
+        self.flows: set[str] = set()
+
+    async def start(self, host: str, port: int) -> web.AppRunner:
+        """Start to listen."""
+        app = web.Application(client_max_size=4_000_000)
+        app.router.add_post("/request", self._request)
+        app.router.add_post("/stream", self._stream)
+        app.router.add_post("/cancel/{flow}/{number}", self._cancel)
+        app.router.add_get("/health", self._health)
+        app.router.add_get("/load", self._load)
+        app.router.add_get("/_record", self._record)
+        app.router.add_post("/_restart", self._restart)
+        self._runner = await serve_http(app, host, port)
+        return self._runner
+
+    @property
+    def cold(self) -> bool:
+        """Tell whether the server is in cold start."""
+        return time.monotonic() < self._cold_until
+
+    async def _request(self, request: web.Request) -> web.Response:
+        if self._down or self._too_many_connections():
+            request.transport.abort()
+            raise web.HTTPServiceUnavailable()
+        body = json.loads(await request.read())
+        if not self._belongs(request, body):
+            raise web.HTTPBadRequest()
+        if self._running >= self._shape.slots:
+            self.shed += 1
+            raise web.HTTPServiceUnavailable(headers={"Berylturn-Not-Run": "1"})
+        self.flows.add(request.headers["Berylturn-Flow"])
+        key = _key(
+            request.headers["Berylturn-Flow"], request.headers["Berylturn-Request"]
+        )
+        task = self._tasks[key] = asyncio.create_task(self._execute(body, request))
+        try:
+            return await task
+        finally:
+            self._tasks.pop(key, None)
+
+    async def _execute(self, body: dict, request: web.Request) -> web.Response:
+        self._running += 1
+        self.max_running = max(self.max_running, self._running)
+        try:
+            if self.cold:
+                self.max_cold_running = max(self.max_cold_running, self._running)
+                if self._running > self._shape.cold_limit:
+                    self.cold_overloads += 1
+                    await self._fall_over()
+                    raise web.HTTPServiceUnavailable()
+            self.executions[body["id"]] += 1
+            seconds = body["work_ms"] / 1000 / self._shape.speed
+            await asyncio.sleep(seconds * (COLD_SLOWDOWN if self.cold else 1.0))
+            return web.Response(body=answer_body(body["id"], body["size"]))
+        finally:
+            self._running -= 1
+
+    async def _stream(self, request: web.Request) -> web.StreamResponse:
+        body = json.loads(await request.read())
+        if self._down or not self._belongs(request, body):
+            request.transport.abort()
+            raise web.HTTPServiceUnavailable()
+        response = web.StreamResponse()
+        await response.prepare(request)
+        index = int(request.headers.get("Berylturn-Resume-At", "0"))
+        quiet = 0.0
+        while index < body["count"]:
+            pause = min(body["interval_ms"] / 1000, STREAM_KEEPALIVE_SECONDS)
+            await asyncio.sleep(pause)
+            quiet += pause
+            if quiet * 1000 < body["interval_ms"]:
+                await response.write(b"\n")
+                continue
+            quiet = 0.0
+            line = json.dumps({"id": body["id"], "index": index})
+            await response.write(line.encode() + b"\n")
+            index += 1
+        return response
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        info = request.match_info
+        task = self._tasks.get(_key(info["flow"], info["number"]))
+        if task is not None:
+            self.cancelled += 1
+            task.cancel()
+        return web.json_response({"found": task is not None})
+
+    async def _health(self, _request: web.Request) -> web.Response:
+        return web.json_response({"status": "well"})
+
+    async def _load(self, _request: web.Request) -> web.Response:
+        now = time.monotonic()
+        self._lagging.append((now, self._running))
+        while len(self._lagging) > 1 and now - self._lagging[1][0] > LAG_SECONDS:
+            self._lagging.popleft()
+        return web.json_response({"running": self._lagging[0][1]})
+
+    async def _record(self, _request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "executions": self.executions,
+                "max_running": self.max_running,
+                "max_cold_running": self.max_cold_running,
+                "cold_overloads": self.cold_overloads,
+                "shed": self.shed,
+                "crossed": self.crossed,
+                "cancelled": self.cancelled,
+                "running": self._running,
+                "flows": len(self.flows),
+                "cold": self.cold,
+            }
+        )
+
+    async def _restart(self, _request: web.Request) -> web.Response:
+        asyncio.get_running_loop().call_soon(self._reset)
+        return web.json_response({})
+
+    async def _fall_over(self) -> None:
+        self._reset()
+        self._down = True
+        await asyncio.sleep(FALL_OVER_SECONDS)
+        self._down = False
+
+    def _reset(self) -> None:
+        """Act out a crash and a new start: all connections end, work is lost."""
+        self._cold_until = time.monotonic() + self._shape.cold_seconds
+        for task in self._tasks.values():
+            task.cancel()
+        for handler in list(self._runner.server.connections):
+            if handler.transport is not None:
+                handler.transport.abort()
+
+    def _too_many_connections(self) -> bool:
+        return len(self._runner.server.connections) > self._shape.connections + 16
+
+    def _belongs(self, request: web.Request, body: dict) -> bool:
+        named = request.headers.get("Berylturn-Service")
+        mine = named == self._shape.service and body["service"] == named
+        if not mine:
+            self.crossed += 1
+        return mine
+
+
+def _key(flow: str, number: str) -> str:
+    return f"{flow}/{number}"
+
+
+def main(
+    service: str,
+    host: str = "127.0.0.1",
+    port: int = 8100,
+    slots: int = 3,
+    cold_limit: int = 1,
+    connections: int = 2000,
+    speed: float = 1.0,
+    cold_seconds: float = 1.0,
+) -> None:
+    """Serve until SIGTERM."""
+    shape = Shape(service, slots, cold_limit, connections, speed, cold_seconds)
+
+    async def start() -> BackendStandIn:
+        server = BackendStandIn(shape)
+        await server.start(host, port)
+        return server
+
+    run_until_signal(start)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/src/berylturn_standins/demo.py
@@ -0,0 +1,127 @@
+"""Demonstration: the whole path as real processes, under a small load."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import time
+from collections import Counter
+
+import fire
+
+from berylturn.caller import Caller
+
+from .deployment import BalancerPlan, Deployment, Plan, ServerPlan
+from .load import (
+    StreamTally,
+    Tally,
+    count_doubled,
+    follow_stream,
+    plan_requests,
+    run_session,
+)
+
+SERVICE = "booking"
+FLOWS = 100
+REQUESTS_PER_FLOW = 10
+WORK_MS = 5.0
+MAX_ANSWER_BYTES = 20_000
+SEED = 7
+
+
+def build_plan(loss: float) -> Plan:
+    """Return the demo's deployment: 2 balancers, 4 servers, 2 data centres."""
+    servers = [
+        ServerPlan(f"desk-{i}", SERVICE, centre, slots=3)
+        for i, centre in enumerate(
+            ["patan-hall", "patan-hall", "thamel-bar", "thamel-bar"], start=1
+        )
+    ]
+    balancers = [
+        BalancerPlan("entry-1", "patan-hall"),
+        BalancerPlan("entry-2", "thamel-bar"),
+    ]
+    return Plan([SERVICE], servers, balancers, loss=loss, seed=SEED)
+
+
+async def run_demo(loss: float) -> dict:
+    """Run the demo and return its figures."""
+    started = time.monotonic()
+    async with Deployment(build_plan(loss)) as deployment:
+        say("processes are up; applying labels and a selector")
+        await deployment.apply_labels()
+        await deployment.apply_selector(SERVICE, {"patan-hall": 50, "thamel-bar": 50})
+        await deployment.wait_servers(SERVICE, 4)
+        say("the selector is in force; offering load")
+        tally, stream = await offer_load(deployment)
+        executions: Counter[str] = Counter()
+        for server in deployment.plan.servers:
+            record = await deployment.get(server.name, "/_record")
+            executions.update(record["executions"])
+        say("stopping")
+    return {
+        "flows": FLOWS,
+        "requests": tally.requests,
+        "answered": tally.answered,
+        "wrong": tally.wrong,
+        "lost": tally.lost,
+        "doubled": count_doubled(executions, tally),
+        "stream_items": stream.items,
+        "stream_gaps": stream.gaps,
+        "seconds": round(time.monotonic() - started, 1),
+    }
+
+
+async def offer_load(deployment: Deployment) -> tuple[Tally, StreamTally]:
+    """Run all flows at once beside one stream."""
+    tally, stream = Tally(), StreamTally()
+    async with Caller(deployment.entry(SERVICE)) as caller:
+        follower = asyncio.create_task(
+            follow_stream(caller, SERVICE, "standings", 100.0, stream)
+        )
+        progress = asyncio.create_task(show_progress(tally))
+        runs = [
+            run_session(
+                caller,
+                SERVICE,
+                plan_requests(
+                    f"flow-{i}", REQUESTS_PER_FLOW, WORK_MS, MAX_ANSWER_BYTES, SEED
+                ),
+                tally,
+            )
+            for i in range(FLOWS)
+        ]
+        sessions = await asyncio.gather(*runs)
+        for session in sessions:
+            session.close()
+        follower.cancel()
+        progress.cancel()
+        await asyncio.gather(follower, progress, return_exceptions=True)
+    return tally, stream
+
+
+async def show_progress(tally: Tally) -> None:
+    """Print how far the load is, twice a second."""
+    total = FLOWS * REQUESTS_PER_FLOW
+    while True:
+        await asyncio.sleep(0.5)
+        say(f"{tally.answered}/{total} answered, {len(tally.not_run)} not run")
+
+
+def say(text: str) -> None:
+    """Print a line of progress."""
+    print(text, file=sys.stderr, flush=True)
+
+
+def main(loss: float = 0.0) -> None:
+    """Run the demo; exit 0 only if every request got its right answer, once."""
+    figures = asyncio.run(run_demo(loss))
+    print(json.dumps(figures))
+    bad = figures["wrong"] + figures["lost"] + figures["doubled"]
+    if bad or figures["answered"] != figures["requests"]:
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/src/berylturn_standins/deployment.py
@@ -0,0 +1,428 @@
+"""Start and stop a whole deployment of real processes for demos and tests."""
+
+from __future__ import annotations
+
+import asyncio
+import configparser
+import json
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+
+KEY = "1:000102030405060708090a0b0c0d0e0f"
+START_SECONDS = 20.0
+STOP_SECONDS = 10.0
+POLL_SECONDS = 0.05
+HOST = "127.0.0.1"
+
+
+class DeploymentError(Exception):
+    """Raise when a process does not start or an awaited state is not reached."""
+
+
+@dataclass(frozen=True)
+class ServerPlan:
+    """Describe one backend server and its agent."""
+
+    name: str
+    service: str
+    data_centre: str
+    slots: int = 3
+    cold_limit: int = 1
+    speed: float = 1.0
+    cold_seconds: float = 0.5
+    connections: int = 2000
+    proxied: bool = False
+    backend_proxied: bool = False
+
+
+@dataclass(frozen=True)
+class BalancerPlan:
+    """Describe one balancer."""
+
+    name: str
+    data_centre: str
+
+
+@dataclass
+class Plan:
+    """Describe a deployment; `services` are the names behind the fabric."""
+
+    services: list[str]
+    servers: list[ServerPlan]
+    balancers: list[BalancerPlan]
+    loss: float = 0.0
+    delay_ms: float = 0.0
+    seed: int = 1
+    agent_options: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass
+class Running:
+    """One process with the addresses that it serves."""
+
+    process: asyncio.subprocess.Process
+    ports: dict[str, int]
+    settings: Path | None = None
+
+
+class Deployment:
+    """Own the processes of one deployment; use it as a context manager.
+
+    Parameters
+    ----------
+    plan : Plan
+        What to start.
+    """
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.processes: dict[str, Running] = {}
+        self.service_ports = {name: free_port() for name in plan.services}
+        self._folder = tempfile.TemporaryDirectory(prefix="berylturn-")
+        self.folder = Path(self._folder.name)
+        self.http: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Deployment:
+        """Start everything and wait until flows can be opened."""
+        self.http = aiohttp.ClientSession()
+        try:
+            await self._start_all()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *_error: object) -> None:
+        """Stop everything that was started here."""
+        names = list(self.processes)
+        await asyncio.gather(*(self.kill(name) for name in names))
+        await self.http.close()
+        self._folder.cleanup()
+
+    @property
+    def platform_url(self) -> str:
+        """Return the URL of the platform stand-in."""
+        return f"http://{HOST}:{self.processes['platform'].ports['http']}"
+
+    def entry(self, service: str) -> tuple[str, int]:
+        """Return the address that callers of a service send to."""
+        return HOST, self.service_ports[service]
+
+    def log_lines(self, name: str) -> list[dict]:
+        """Return the log lines of one daemon."""
+        path = self.folder / f"{name}.log"
+        if not path.exists():
+            return []
+        lines = path.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    async def start_balancer(self, plan: BalancerPlan) -> None:
+        """Start one balancer."""
+        ports = {key: free_port() for key in ("callers", "peers", "control")}
+        fabric = self.processes["fabric"].ports["control"]
+        sections = {
+            "node": {"name": plan.name, "data_centre": plan.data_centre},
+            "listen": {key: f"{HOST}:{port}" for key, port in ports.items()},
+            "platform": {"url": self.platform_url, "timeout": "2s"},
+            "keys": {"current": KEY},
+            "fabric": {"control": f"{HOST}:{fabric}"},
+            "peers": {"seeds": self._seeds()},
+            "logs": {"file": str(self.folder / f"{plan.name}.log")},
+        }
+        await self._start_daemon("balancer", plan.name, sections, ports)
+
+    async def start_server(self, plan: ServerPlan) -> None:
+        """Start one backend server with its agent."""
+        await self.start_backend(plan)
+        await self.start_agent(plan)
+
+    async def start_backend(self, plan: ServerPlan) -> None:
+        """Start one backend server."""
+        port = free_port()
+        await self._spawn(
+            plan.name,
+            {"http": port},
+            "-m",
+            "berylturn_standins.backend",
+            plan.service,
+            f"--port={port}",
+            f"--slots={plan.slots}",
+            f"--cold_limit={plan.cold_limit}",
+            f"--speed={plan.speed}",
+            f"--cold_seconds={plan.cold_seconds}",
+            f"--connections={plan.connections}",
+        )
+        await self.wait_http(f"http://{HOST}:{port}/health")
+        if plan.backend_proxied:
+            await self.start_proxy(f"{plan.name}-backend-proxy", port)
+
+    async def start_agent(self, plan: ServerPlan, port: int | None = None) -> None:
+        """Start the agent of one backend server."""
+        ports = {"peers": port or free_port()}
+        backend = self._front(f"{plan.name}-backend-proxy", plan.name, "http")
+        sections = {
+            "node": {"name": plan.name, "data_centre": plan.data_centre},
+            "listen": {"peers": f"{HOST}:{ports['peers']}"},
+            "backend": {"url": f"http://{HOST}:{backend}"},
+            "platform": {"url": self.platform_url, "timeout": "2s"},
+            "keys": {"current": KEY},
+            "agent": {"announce": "300ms", **self.plan.agent_options},
+            "peers": {"seeds": self._seeds()},
+            "logs": {"file": str(self.folder / f"{plan.name}-agent.log")},
+        }
+        if plan.proxied:
+            name = f"{plan.name}-agent-proxy"
+            if name not in self.processes:
+                await self.start_proxy(name, ports["peers"])
+            front = self.processes[name].ports["listen"]
+            sections["listen"]["advertise"] = f"{HOST}:{front}"
+        await self._start_daemon("agent", f"{plan.name}-agent", sections, ports)
+
+    async def start_proxy(self, name: str, target: int) -> None:
+        """Start a fault proxy in front of a port."""
+        ports = {"listen": free_port(), "admin": free_port()}
+        await self._spawn(
+            name,
+            ports,
+            "-m",
+            "berylturn_standins.proxy",
+            f"--listen={HOST}:{ports['listen']}",
+            f"--target={HOST}:{target}",
+            f"--admin={HOST}:{ports['admin']}",
+            f"--seed={self.plan.seed}",
+        )
+        await self.wait_http(f"http://{HOST}:{ports['admin']}/_stats")
+
+    async def post(self, name: str, path: str, content: dict | None = None) -> dict:
+        """Call an administrative endpoint of a stand-in."""
+        async with self.http.post(self._admin(name) + path, json=content) as response:
+            return await response.json()
+
+    async def get(self, name: str, path: str) -> dict:
+        """Read an administrative endpoint of a stand-in."""
+        async with self.http.get(self._admin(name) + path) as response:
+            return await response.json()
+
+    async def tool(self, *arguments: str) -> tuple[int, str]:
+        """Run the command-line tool; return its exit status and output."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "berylturn.cli",
+            *arguments,
+            f"--platform={self.platform_url}",
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await process.communicate()
+        return process.returncode, output.decode()
+
+    async def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.processes[name].process.send_signal(number)
+
+    async def stop(self, name: str, seconds: float = STOP_SECONDS) -> int:
+        """Stop one process gracefully; return its exit status."""
+        running = self.processes.pop(name)
+        running.process.terminate()
+        async with asyncio.timeout(seconds):
+            return await running.process.wait()
+
+    async def kill(self, name: str) -> None:
+        """End one process at once."""
+        running = self.processes.pop(name)
+        if running.process.returncode is None:
+            running.process.kill()
+            await running.process.wait()
+
+    async def apply_labels(self, *servers: ServerPlan) -> None:
+        """Label backend servers with what their plans say."""
+        calls = [
+            self.tool(
+                "label",
+                "set",
+                f"server/{s.name}",
+                f"app={s.service}",
+                f"slots={s.slots}",
+                f"cold-limit={s.cold_limit}",
+                f"cold-seconds={s.cold_seconds}",
+                f"connections={s.connections}",
+                f"speed={s.speed}",
+            )
+            for s in servers or self.plan.servers
+        ]
+        check_tool_results(await asyncio.gather(*calls))
+
+    async def apply_selector(
+        self, service: str, shares: dict[str, int] | None = None
+    ) -> None:
+        """Write the selector of a service and wait until it is in force."""
+        parser = configparser.ConfigParser()
+        parser["selector"] = {
+            "service": service,
+            "address": f"{HOST}:{self.service_ports[service]}",
+            "match": f"app={service}",
+        }
+        if shares:
+            parser["shares"] = {name: str(share) for name, share in shares.items()}
+        path = self.folder / f"{service}.ini"
+        with path.open("w") as file:
+            parser.write(file)
+        result = await self.tool("selector", "apply", str(path), "--wait")
+        check_tool_results([result])
+
+    async def wait_servers(self, service: str, count: int) -> None:
+        """Wait until every balancer places flows of a service on `count` servers."""
+        controls = [
+            running.ports["control"]
+            for running in self.processes.values()
+            if "callers" in running.ports
+        ]
+
+        async def ready() -> bool:
+            for port in controls:
+                if await self._takers(port, service) != count:
+                    return False
+            return True
+
+        await self.wait_until(ready, f"{count} servers of {service}")
+
+    async def wait_until(
+        self,
+        condition: Callable[[], Awaitable[bool]],
+        what: str,
+        seconds: float = START_SECONDS,
+    ) -> None:
+        """Wait until a condition holds."""
+        deadline = time.monotonic() + seconds
+        while not await condition():
+            if time.monotonic() > deadline:
+                raise DeploymentError(f"not reached in {seconds} s: {what}")
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def wait_http(self, url: str) -> None:
+        """Wait until a stand-in answers."""
+
+        async def answers() -> bool:
+            try:
+                async with self.http.get(url) as response:
+                    return response.status == 200
+            except aiohttp.ClientError:
+                return False
+
+        await self.wait_until(answers, url)
+
+    async def _start_all(self) -> None:
+        await self._start_platform()
+        await self._start_fabric()
+        for plan in self.plan.balancers:
+            await self.start_balancer(plan)
+        await asyncio.gather(*(self.start_server(s) for s in self.plan.servers))
+
+    async def _start_platform(self) -> None:
+        port = free_port()
+        await self._spawn(
+            "platform",
+            {"http": port},
+            "-m",
+            "berylturn_standins.platform",
+            f"--port={port}",
+        )
+        await self.wait_http(f"http://{HOST}:{port}/_stats")
+
+    async def _start_fabric(self) -> None:
+        ports = {"control": free_port(), "admin": free_port()}
+        services = "+".join(f"{HOST}:{p}" for p in self.service_ports.values())
+        await self._spawn(
+            "fabric",
+            ports,
+            "-m",
+            "berylturn_standins.fabric",
+            f"--services={services}",
+            f"--control={HOST}:{ports['control']}",
+            f"--admin={HOST}:{ports['admin']}",
+            f"--loss={self.plan.loss}",
+            f"--delay_ms={self.plan.delay_ms}",
+            f"--seed={self.plan.seed}",
+        )
+        await self.wait_http(f"http://{HOST}:{ports['admin']}/_stats")
+
+    async def _start_daemon(
+        self, role: str, name: str, sections: dict, ports: dict[str, int]
+    ) -> None:
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_dict(sections)
+        path = self.folder / f"{name}.ini"
+        with path.open("w") as file:
+            parser.write(file)
+        await self._spawn(
+            name, ports, "-m", "berylturn.daemon", role, f"--settings={path}"
+        )
+        self.processes[name].settings = path
+
+    async def _spawn(self, name: str, ports: dict[str, int], *arguments: str) -> None:
+        errors = (self.folder / f"{name}.err").open("ab")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, *arguments, stdout=errors, stderr=errors
+        )
+        errors.close()
+        self.processes[name] = Running(process, ports)
+
+    async def _takers(self, port: int, service: str) -> int:
+        from berylturn.process.control import (
+            ControlError,
+            ExplainRequest,
+            call_control,
+        )
+
+        request = ExplainRequest(service)
+        try:
+            reply = await call_control(f"{HOST}:{port}", "Explain", request)
+        except ControlError:
+            return -1
+        return sum(server.share > 0 for server in reply.servers)
+
+    def _seeds(self) -> str:
+        seeds = [
+            f"{HOST}:{running.ports['peers']}"
+            for running in self.processes.values()
+            if "callers" in running.ports
+        ]
+        return ",".join(seeds[:3])
+
+    def _front(self, proxy: str, name: str, port: str) -> int:
+        if proxy in self.processes:
+            return self.processes[proxy].ports["listen"]
+        return self.processes[name].ports[port]
+
+    def _admin(self, name: str) -> str:
+        ports = self.processes[name].ports
+        return f"http://{HOST}:{ports.get('admin', ports.get('http'))}"
+
+
+def free_port() -> int:
+    """Return a port that is free for UDP and TCP at the moment."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind((HOST, 0))
+            port = tcp.getsockname()[1]
+            try:
+                udp.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+
+
+def check_tool_results(results: list[tuple[int, str]]) -> None:
+    """Raise `DeploymentError` when a call of the tool failed."""
+    for status, output in results:
+        if status != 0:
+            raise DeploymentError(f"the tool failed with {status}: {output}")
--- /dev/null
+++ b/src/berylturn_standins/fabric.py
@@ -0,0 +1,150 @@
+"""Stand-in of the fabric: sprays each packet over the announced balancers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import fire
+import msgspec
+from aiohttp import web
+
+from berylturn.process.fabric import FabricMessage
+from berylturn.process.sockets import open_udp
+
+from .faults import FaultyLink, LinkFaults
+from .serving import run_until_signal, serve_http, split_address
+
+Address = tuple[str, int]
+
+HOLD_SECONDS = 1.0
+
+
+class FabricStandIn:
+    """Relay datagrams between callers and balancers, with faults.
+
+    Each caller gets a socket of its own towards the balancers, so that any
+    balancer can answer it.
+    """
+
+    def __init__(self, faults: LinkFaults, seed: int) -> None:
+        self._link = FaultyLink(faults, seed)
+        self._random = random.Random(seed)
+        self._balancers: dict[Address, float] = {}
+        self._callers: dict[tuple[Address, int], asyncio.DatagramTransport] = {}
+        self._opening: dict[tuple[Address, int], list[bytes]] = {}
+        self._decoder = msgspec.msgpack.Decoder(FabricMessage)
+        self._silent: set[tuple[Address, int]] = set()
+        self.packets = 0
+        self.undelivered = 0
+
+    async def start(self, services: list[Address], control: Address) -> None:
+        """Listen on the services' addresses and on the control address."""
+        self._control = await open_udp(control, self._on_announcement)
+        for index, address in enumerate(services):
+            await self._open_service(index, address)
+
+    def build_app(self) -> web.Application:
+        """Return the HTTP application that changes faults."""
+        app = web.Application()
+        app.router.add_post("/_faults", self._set_faults)
+        app.router.add_post("/_silence", self._silence)
+        app.router.add_get("/_stats", self._stats)
+        return app
+
+    async def _open_service(self, index: int, address: Address) -> None:
+        def receive(data: bytes, caller: Address) -> None:
+            self._link.pass_on(self._from_caller, index, data, caller)
+
+        transport = await open_udp(address, receive)
+        self._services = {**getattr(self, "_services", {}), index: transport}
+
+    def _on_announcement(self, data: bytes, _source: Address) -> None:
+        message = self._decoder.decode(data)
+        address = (message.host, message.port)
+        if message.up:
+            self._balancers[address] = time.monotonic()
+        else:
+            self._balancers.pop(address, None)
+
+    def _from_caller(self, index: int, data: bytes, caller: Address) -> None:
+        key = (caller, index)
+        if key in self._silent:
+            return
+        transport = self._callers.get(key)
+        if transport is not None:
+            self._spray(transport, data)
+        elif key in self._opening:
+            self._opening[key].append(data)
+        else:
+            self._opening[key] = [data]
+            asyncio.ensure_future(self._open_caller(key))
+
+    async def _open_caller(self, key: tuple[Address, int]) -> None:
+        caller, index = key
+
+        def receive(data: bytes, _balancer: Address) -> None:
+            if key not in self._silent:
+                self._link.pass_on(self._services[index].sendto, data, caller)
+
+        transport = await open_udp(("127.0.0.1", 0), receive)
+        self._callers[key] = transport
+        for data in self._opening.pop(key):
+            self._spray(transport, data)
+
+    def _spray(self, transport: asyncio.DatagramTransport, data: bytes) -> None:
+        oldest = time.monotonic() - HOLD_SECONDS
+        live = [a for a, heard in self._balancers.items() if heard >= oldest]
+        self.packets += 1
+        if not live:
+            self.undelivered += 1
+            return
+        transport.sendto(data, self._random.choice(live))
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        for name, value in (await request.json()).items():
+            setattr(self._link.faults, name, value)
+        return web.json_response({})
+
+    async def _silence(self, _request: web.Request) -> web.Response:
+        """Lose track of every caller's present source port."""
+        self._silent = set(self._callers)
+        return web.json_response({"silenced": len(self._silent)})
+
+    async def _stats(self, _request: web.Request) -> web.Response:
+        oldest = time.monotonic() - HOLD_SECONDS
+        live = sum(heard >= oldest for heard in self._balancers.values())
+        return web.json_response(
+            {
+                "balancers": live,
+                "packets": self.packets,
+                "undelivered": self.undelivered,
+            }
+        )
+
+
+def main(
+    services: str,
+    control: str,
+    admin: str,
+    loss: float = 0.0,
+    delay_ms: float = 0.0,
+    seed: int = 1,
+) -> None:
+    """Relay until SIGTERM; `loss` is percent dropped, doubled and reordered."""
+    share = loss / 100
+    faults = LinkFaults(delay_ms / 1000, share, share, share)
+
+    async def start() -> FabricStandIn:
+        fabric = FabricStandIn(faults, seed)
+        addresses = [split_address(part) for part in services.split("+")]
+        await fabric.start(addresses, split_address(control))
+        await serve_http(fabric.build_app(), *split_address(admin))
+        return fabric
+
+    run_until_signal(start)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
