Open a flow whose acceptance arrives between two attempts

Cause: an acceptance that came after an attempt had timed out set the token but left the opener waiting, and every later acceptance was taken for a second flow, so the open never returned. Ruled out: limits, queue, agents (their logs show the flow admitted once). Change: the opener looks at the acceptance that is already there.

--- a/src/berylturn/caller.py
+++ b/src/berylturn/caller.py
@@ -236,6 +236,7 @@
         self._pending: dict[int, _Pending] = {}
         self._streams: dict[int, _StreamInbox] = {}
         self._opened: asyncio.Future[Accepted | Refused] | None = None
+        self._accepted: Accepted | None = None
         self._awaiting_since: float | None = None
         self._heard_at = 0.0
         self._ping_sequence = 0
@@ -328,12 +329,17 @@
         self._end(CloseReason.CALLER)
 
     async def wait_opened(self, seconds: float) -> Accepted | Refused | None:
-        """Return the answer to `Open`, or None when there was none in time."""
+        """Return the answer to `Open`, or None when there was none in time.
+
+        An acceptance that came between two attempts counts.
+        """
+        if self._accepted is not None:
+            return self._accepted
         self._opened = asyncio.get_running_loop().create_future()
         try:
             return await asyncio.wait_for(self._opened, seconds)
         except TimeoutError:
-            return None
+            return self._accepted
 
     def start(self) -> None:
         """Begin to watch over the flow."""
@@ -439,6 +445,7 @@
                 self._caller.send(Close(packet.token))
             return
         if isinstance(packet, Accepted):
+            self._accepted = packet
             self._token = packet.token
             self._incarnation = packet.incarnation
         if self._opened is not None and not self._opened.done():
--- a/src/berylturn_standins/demo.py
+++ b/src/berylturn_standins/demo.py
@@ -59,6 +59,8 @@
         for server in deployment.plan.servers:
             record = await deployment.get(server.name, "/_record")
             executions.update(record["executions"])
+        for problem in tally.problems:
+            say(problem)
         say("stopping")
     return {
         "flows": FLOWS,
--- a/src/berylturn_standins/load.py
+++ b/src/berylturn_standins/load.py
@@ -27,6 +27,7 @@
     unknown: list[str] = field(default_factory=list)
     not_repeatable: list[str] = field(default_factory=list)
     answered_ids: list[str] = field(default_factory=list)
+    problems: list[str] = field(default_factory=list)
     latencies: list[float] = field(default_factory=list)
 
     @property
@@ -70,11 +71,13 @@
     started = time.monotonic()
     try:
         answer = await session.request(plan.body(service), plan.repeatable, deadline)
-    except NotRun:
+    except NotRun as error:
         tally.not_run.append(plan.request_id)
+        tally.problems.append(f"{plan.request_id}: {error}")
         return
-    except OutcomeUnknown:
+    except OutcomeUnknown as error:
         tally.unknown.append(plan.request_id)
+        tally.problems.append(f"{plan.request_id}: {error}")
         return
     tally.latencies.append(time.monotonic() - started)
     tally.answered += 1
