Hand flows over between agents and prove planned changes under load

Cause: an agent's planned stop ended its flows, and nothing showed what failures do. Change: a stopping agent parks its requests and writes flows, ledger marks and streams as one object; the successor claims it by a conditional delete and keeps the incarnation. A balancer closes its waiting watch when it stops. A load beside each scenario and a verdict over the backend servers' records judge 14 scenarios on real processes.

--- a/src/berylturn/caller.py
+++ b/src/berylturn/caller.py
@@ -32,7 +32,6 @@
     Request,
     RequestNotRun,
     RequestUnknown,
-    Running,
     StreamItem,
     StreamState,
     decode_to_caller,
@@ -74,7 +73,6 @@
 
     packets: list[bytes]
     done: asyncio.Future[Answer]
-    running: bool = False
     assembly: Assembly | None = None
     status: int = 0
     asked_until: int = WINDOW_PARTS
@@ -426,8 +424,7 @@
             self._check_silence()
 
     def _send_request(self, pending: _Pending) -> None:
-        packets = pending.packets[:1] if pending.running else pending.packets
-        for data in packets:
+        for data in pending.packets:
             self._send_bytes(data)
 
     def _ask_missing(self, number: int, pending: _Pending) -> None:
@@ -470,9 +467,7 @@
         pending = self._pending.get(packet.number)
         if pending is None or pending.done.done():
             return
-        if isinstance(packet, Running):
-            pending.running = True
-        elif isinstance(packet, RequestNotRun):
+        if isinstance(packet, RequestNotRun):
             error = NotRun(
                 f"the request did not run ({packet.reason.name.lower()}); "
                 "it may be sent again"
--- a/src/berylturn/connection/admission.py
+++ b/src/berylturn/connection/admission.py
@@ -136,6 +136,7 @@
         self.siblings = Siblings()
         self.stopping = False
         self._closing = False
+        self._parked = False
         self._handlers: dict[type, Callable[..., None]] = {
             Request: self._on_request,
             Missing: self._on_missing,
@@ -219,7 +220,7 @@
         """Send data of a stream to the caller, in items of one packet each."""
         flow = self._flows.get(flow_id)
         stream = (flow.streams or {}).get(number) if flow else None
-        if flow is None or stream is None:
+        if flow is None or stream is None or self._parked:
             return
         for start in range(0, len(data), PART_BYTES):
             body = data[start : start + PART_BYTES]
@@ -232,7 +233,7 @@
         self._work.pop((flow_id, number), None)
         flow = self._flows.get(flow_id)
         stream = (flow.streams or {}).get(number) if flow else None
-        if flow is None or stream is None:
+        if flow is None or stream is None or self._parked:
             return
         stream.ended = True
         stream.ended_at = now
@@ -243,7 +244,8 @@
         """Do what time alone asks for: expiry, heartbeats, changes in force."""
         self._follow_configuration(now)
         self._expire_waiting(now)
-        self._start_waiting(now)
+        if not self._parked:
+            self._start_waiting(now)
         for flow_id in list(self._streaming):
             self._beat_streams(flow_id, now)
         if now >= self._next_scan:
@@ -262,6 +264,49 @@
         for flow in self._flows.values():
             self._send_closed(flow, CloseReason.DRAINED, now)
 
+    def park(self) -> None:
+        """Start nothing more, so that the state can be handed to a successor.
+
+        Requests that have not started are withdrawn: their callers send them
+        again, and the successor runs them. Callers hear that they are known.
+        """
+        self.stopping = True
+        self._parked = True
+        for key, work in list(self._work.items()):
+            if not work.started:
+                work.waiting.cancelled = True
+                self._flows[key[0]].ledger.withdraw(key[1])
+                del self._work[key]
+
+    def restore(self, flows: list[Flow], now: float) -> None:
+        """Take over the flows of a predecessor and resume their streams."""
+        for flow in flows:
+            self._flows[flow.flow_id] = flow
+            self._gate.add_flow()
+            if flow.has_ledger:
+                self._kept_bytes += flow.ledger.size
+            for number, stream in (flow.streams or {}).items():
+                self._resume_stream(flow, number, stream, now)
+
+    def _resume_stream(
+        self, flow: Flow, number: int, stream: Stream, now: float
+    ) -> None:
+        self._streaming.add(flow.flow_id)
+        flow.ledger.offer(number)
+        request = StartRequest(
+            flow.flow_id,
+            number,
+            flow.service,
+            stream.body,
+            True,
+            True,
+            now,
+            self._gate.era,
+            stream.lines,
+        )
+        self._work[(flow.flow_id, number)] = _Work(request, None, started=True)
+        self._effects.append(request)
+
     def load_digest(self) -> LoadDigest:
         """Return this agent's load for its siblings."""
         self._digest_sequence += 1
@@ -279,11 +324,6 @@
             self._gate.accepting and not self.stopping,
         )
 
-    def add_flow(self, flow: Flow) -> None:
-        """Take over a flow from a predecessor."""
-        self._flows[flow.flow_id] = flow
-        self._gate.add_flow()
-
     def issue(self, service: str, flow_id: bytes) -> bytes:
         """Return the route token of a flow at this agent."""
         who = self._identity
@@ -400,10 +440,25 @@
             self._counters["packets.foreign"] += 1
             return
         flow.touch(caller, balancer, now)
+        if self._parked:
+            self._hold_caller(packet, flow, now)
+            return
         if self._closing:
             self._send_closed(flow, CloseReason.DRAINED, now)
         self._handlers[type(packet)](packet, flow, now)
 
+    def _hold_caller(self, packet: Packet, flow: Flow, now: float) -> None:
+        """Answer so that the caller waits for the successor."""
+        if isinstance(packet, Ping):
+            pong = Pong(flow.flow_id, self._identity.incarnation, packet.sequence)
+            self._send(flow, pong, now)
+        elif isinstance(packet, Request):
+            if flow.has_ledger and not flow.ledger.is_new(packet.number):
+                self._repeat_outcome(flow, packet.number, now)
+                return
+            incarnation = self._identity.incarnation
+            self._send(flow, Running(flow.flow_id, incarnation, packet.number), now)
+
     def _on_request(self, packet: Request, flow: Flow, now: float) -> None:
         ledger = flow.ledger
         self._advance(flow, packet.low_water)
@@ -464,7 +519,7 @@
     def _start_stream(self, flow: Flow, request: StartRequest) -> None:
         if flow.streams is None:
             flow.streams = {}
-        flow.streams[request.number] = Stream()
+        flow.streams[request.number] = Stream(request.body)
         self._streaming.add(flow.flow_id)
         key = (request.flow_id, request.number)
         self._work[key] = _Work(request, None, started=True)
--- a/src/berylturn/connection/effects.py
+++ b/src/berylturn/connection/effects.py
@@ -29,7 +29,17 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRequest:
-    """Run one request on the backend server; `deadline` is on the clock."""
+    """Run one request on the backend server.
+
+    Attributes
+    ----------
+    deadline : float
+        Seconds on the monotonic clock.
+    era : int
+        Cold starts seen so far.
+    resume_at : int
+        Lines of a stream that a predecessor has already taken.
+    """
 
     flow_id: bytes
     number: int
@@ -39,6 +49,7 @@
     stream: bool
     deadline: float
     era: int
+    resume_at: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/berylturn/connection/flow.py
+++ b/src/berylturn/connection/flow.py
@@ -15,9 +15,19 @@
 
 @dataclass(slots=True)
 class Stream:
-    """Follow one stream: what was sent, and what can be sent again."""
+    """Follow one stream: what was sent, and what can be sent again.
 
+    Attributes
+    ----------
+    body : bytes
+        Body of the subscription.
+    lines : int
+        Whole lines taken from the backend server, to resume after.
+    """
+
+    body: bytes = b""
     next_sequence: int = 0
+    lines: int = 0
     ended: bool = False
     last_sent: float = 0.0
     ended_at: float = 0.0
@@ -30,6 +40,7 @@
         sequence = self.next_sequence
         self.recent.append(body)
         self.next_sequence += 1
+        self.lines += body.count(b"\n")
         return sequence
 
     def item(self, sequence: int) -> bytes | None:
--- /dev/null
+++ b/src/berylturn/connection/hold.py
@@ -0,0 +1,31 @@
+"""Answers of an agent that does not know yet whether it takes flows over."""
+
+from __future__ import annotations
+
+from ..errors import AuthenticationError, PacketError
+from .keys import KeyRing
+from .packets import Open, Ping, Pong, Request, Running, decode_from_caller
+from .packets import encode_packet as encode
+from .token import verify_token
+
+
+def hold_packet(data: bytes, keys: KeyRing, address: tuple[str, int]) -> bytes | None:
+    """Return a packet that keeps the caller waiting, or None.
+
+    Neither answer promises anything: the request counts as arrived, and the
+    caller goes on to retransmit it.
+    """
+    try:
+        packet = decode_from_caller(data)
+        if isinstance(packet, Open):
+            return None
+        token = verify_token(packet.token, keys)
+    except (PacketError, AuthenticationError):
+        return None
+    if (token.host, token.port) != address:
+        return None
+    if isinstance(packet, Ping):
+        return encode(Pong(token.flow_id, token.incarnation, packet.sequence))
+    if isinstance(packet, Request):
+        return encode(Running(token.flow_id, token.incarnation, packet.number))
+    return None
--- a/src/berylturn/process/agent.py
+++ b/src/berylturn/process/agent.py
@@ -30,7 +30,9 @@
     seal_frame,
 )
 from ..connection.gate import AdmissionGate, Limits
+from ..connection.hold import hold_packet
 from ..connection.packets import RefusalReason
+from ..connection.snapshot import read_snapshot, restore_flows, take_snapshot
 from ..errors import (
     AuthenticationError,
     ConnectError,
@@ -46,8 +48,10 @@
 from .homes import Homes
 from .logs import LogWriter, log_event, log_warning
 from .metrics import Metrics
+from .platform import HttpPlatform
 from .settings import AgentSettings, make_key_ring
 from .sockets import open_udp
+from .succession import claim_snapshot, platform_answers, write_snapshot
 from .tasks import TaskGroup
 
 Address = tuple[str, int]
@@ -55,6 +59,7 @@
 TICK_SECONDS = 0.05
 IDLE_SCAN_SECONDS = 5.0
 CLOSING_SECONDS = 1.5
+CLAIM_SECONDS = 30.0
 UNREACHABLE_RETRY_MS = 200
 SHED_RETRY_MS = 200
 
@@ -93,17 +98,21 @@
             self._on_backend_restart,
             clock,
         )
+        self._platform = HttpPlatform(settings.platform.url, settings.platform.timeout)
         self._rules = self._new_rules(incarnation=self._epoch)
+        self._claiming = True
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop without cutting a request."""
         self._tasks.stop_on_signals()
         await self._open_sockets()
+        await self._take_over()
         self._start_tasks()
         await self._tasks.stop.wait()
-        await self._drain()
+        await self._stop_serving()
         await self._tasks.cancel_all()
         await self._backend.close()
+        self._platform.close()
         self._logs.flush()
         if self._tasks.failure is not None:
             raise self._tasks.failure
@@ -130,6 +139,26 @@
         self._peers = await open_udp(listen, self._on_frame)
         self._announcer = await open_udp((listen[0], 0), self._on_frame)
 
+    async def _take_over(self) -> None:
+        """Go on with the flows of a predecessor, if it left a snapshot."""
+        deadline = self._clock.monotonic() + CLAIM_SECONDS
+        name = self._settings.node.name
+        data = await claim_snapshot(self._platform, name, self._clock, deadline)
+        if data is not None:
+            snapshot = read_snapshot(data)
+            self._rules = self._new_rules(snapshot.incarnation)
+            restore_flows(self._rules, snapshot, self._clock.monotonic())
+            log_event("took_over", flows=len(snapshot.flows))
+        self._claiming = False
+        self._apply_effects()
+
+    def _hold_caller(self, frame: ToAgent, source: Address) -> None:
+        """Answer packets of flows that may be taken over, so that callers wait."""
+        identity = self._rules.identity
+        packet = hold_packet(frame.packet, self._keys, identity.address)
+        if packet is not None:
+            self._send_frame(source, ToCaller(frame.caller, packet))
+
     def _start_tasks(self) -> None:
         self._tasks.start(self._logs.run(), "logs")
         self._tasks.start(self._metrics.run(), "metrics")
@@ -146,6 +175,9 @@
             return
         now = self._clock.monotonic()
         if type(frame) is ToAgent:
+            if self._claiming:
+                self._hold_caller(frame, source)
+                return
             self._rules.on_packet(frame, source, now)
             self._apply_effects()
         elif isinstance(frame, LoadDigest):
@@ -350,12 +382,41 @@
             await asyncio.sleep(IDLE_SCAN_SECONDS)
             await self._backend.close_idle()
 
-    async def _drain(self) -> None:
-        """Stop admitting, let requests and flows end, then leave."""
-        log_event("draining", flows=len(self._rules.flows))
+    async def _stop_serving(self) -> None:
+        """Hand the flows over, or drain when that is set or not possible."""
+        log_event("stopping", flows=len(self._rules.flows))
         self._rules.stopping = True
         limit = self._settings.agent.drain_limit.total_seconds()
         deadline = self._clock.monotonic() + limit
+        handing_over = self._settings.agent.stop == "hand-over"
+        if handing_over and await self._hand_over(deadline):
+            return
+        await self._drain(deadline)
+
+    async def _hand_over(self, deadline: float) -> bool:
+        """Write all flows as one snapshot; return False when that failed."""
+        name = self._settings.node.name
+        while self._rules.flows:
+            if await platform_answers(self._platform, name):
+                break
+            if self._clock.monotonic() > deadline:
+                return False
+        if not self._rules.flows:
+            return False
+        self._rules.park()
+        while self._rules.unfinished and self._clock.monotonic() < deadline:
+            await asyncio.sleep(TICK_SECONDS)
+        data = take_snapshot(self._rules, self._clock.monotonic())
+        written = await write_snapshot(
+            self._platform, name, data, self._clock, deadline
+        )
+        log_event(
+            "handed_over", flows=len(self._rules.flows), size=len(data), done=written
+        )
+        return written
+
+    async def _drain(self, deadline: float) -> None:
+        """Let requests and flows end, then leave."""
         while self._rules.flows and self._clock.monotonic() < deadline:
             await asyncio.sleep(TICK_SECONDS)
         await self._close_flows()
@@ -374,4 +435,11 @@
 
 
 def _call(request: StartRequest, seconds: float) -> Call:
-    return Call(request.flow_id, request.number, request.service, request.body, seconds)
+    return Call(
+        request.flow_id,
+        request.number,
+        request.service,
+        request.body,
+        seconds,
+        request.resume_at,
+    )
--- a/src/berylturn/process/backend.py
+++ b/src/berylturn/process/backend.py
@@ -28,13 +28,22 @@
 
 @dataclass(frozen=True)
 class Call:
-    """Describe one request to the backend server; `seconds` is its deadline."""
+    """Describe one request to the backend server.
+
+    Attributes
+    ----------
+    seconds : float
+        Time until its deadline.
+    resume_at : int
+        Lines of a stream that were taken already.
+    """
 
     flow_id: bytes
     number: int
     service: str
     body: bytes
     seconds: float
+    resume_at: int = 0
 
     def headers(self) -> dict[str, str]:
         """Return the headers that identify the request."""
@@ -134,7 +143,7 @@
 
     async def stream(self, call: Call) -> AsyncIterator[bytes]:
         """Yield data; a connection that goes silent is replaced, resuming."""
-        sent = 0
+        sent = call.resume_at
         while True:
             session = self._new_session()
             try:
--- a/src/berylturn/process/balancer.py
+++ b/src/berylturn/process/balancer.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Iterable
+from datetime import timedelta
 
 import grpc.aio
 
@@ -26,7 +27,7 @@
 )
 from ..connection.router import Drop, Forward, Placed, Reply, route_packet
 from ..errors import AuthenticationError, PacketError, PlatformError
-from ..version.selectors import BALANCER_PREFIX
+from ..version.selectors import BALANCER_PREFIX, CONFIG_KINDS
 from ..version.view import View
 from .clock import Clock, epoch_milliseconds
 from .control import (
@@ -256,20 +257,18 @@
         log_warning("channel_rebound", address=f"{address[0]}:{address[1]}")
 
     async def _watch_platform(self) -> None:
-        revision = -1
+        revision = 0
+        wait = timedelta()
         while True:
             try:
-                if revision < 0:
-                    result = await self._platform.list()
-                else:
-                    wait = self._settings.platform.watch
-                    result = await self._platform.watch(revision, wait)
+                result = await self._platform.watch(revision, wait, CONFIG_KINDS)
             except PlatformError as error:
                 self._metrics.count("platform.errors")
                 log_warning("platform_unavailable", error=str(error))
                 await asyncio.sleep(PLATFORM_RETRY_SECONDS)
                 continue
             revision = max(revision, result.revision)
+            wait = self._settings.platform.watch
             self._take_objects(result)
 
     def _take_objects(self, result: WatchResult | PullReply) -> None:
--- a/src/berylturn/process/platform.py
+++ b/src/berylturn/process/platform.py
@@ -11,6 +11,7 @@
 import http.client
 import json
 import secrets
+import socket
 from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
@@ -53,8 +54,10 @@
     async def delete(self, name: str, expected: int) -> int:
         """Delete if the version is `expected`; return the tombstone's version."""
 
-    async def watch(self, since: int, wait: timedelta) -> WatchResult:
-        """Wait for changes after revision `since`."""
+    async def watch(
+        self, since: int, wait: timedelta, kinds: tuple[str, ...]
+    ) -> WatchResult:
+        """Wait for changes of some kinds of objects after revision `since`."""
 
 
 class HttpPlatform:
@@ -74,10 +77,14 @@
         self._port = parts.port or 80
         self._timeout = timeout.total_seconds()
         self._threads = ThreadPoolExecutor(max_workers=3, thread_name_prefix="platform")
+        self._open: set[http.client.HTTPConnection] = set()
 
     def close(self) -> None:
-        """Stop waiting for calls in progress."""
+        """End calls in progress, so that their threads end too."""
         self._threads.shutdown(wait=False, cancel_futures=True)
+        for connection in list(self._open):
+            if connection.sock is not None:
+                connection.sock.shutdown(socket.SHUT_RDWR)
 
     async def get(self, name: str) -> ConfigObject:
         """Return one object or raise `ObjectNotFound`."""
@@ -98,10 +105,12 @@
         """Delete conditionally; a lost answer is settled by reading back."""
         return await self._change("DELETE", name, {"expected": expected})
 
-    async def watch(self, since: int, wait: timedelta) -> WatchResult:
-        """Wait for changes after revision `since`."""
+    async def watch(
+        self, since: int, wait: timedelta, kinds: tuple[str, ...]
+    ) -> WatchResult:
+        """Wait for changes of some kinds of objects after revision `since`."""
         seconds = wait.total_seconds()
-        path = f"/watch?since={since}&wait={seconds}"
+        path = f"/watch?since={since}&wait={seconds}&kinds={'+'.join(kinds)}"
         reply = await self._call("GET", path, extra_wait=seconds)
         return _watch_result(reply)
 
@@ -161,6 +170,7 @@
     ) -> dict[str, Any]:
         timeout = self._timeout + extra_wait
         connection = http.client.HTTPConnection(self._host, self._port, timeout=timeout)
+        self._open.add(connection)
         try:
             body = None if content is None else json.dumps(content)
             connection.request(method, path, body=body)
@@ -172,6 +182,7 @@
                 f"({error!r}); check its address, then try again"
             ) from error
         finally:
+            self._open.discard(connection)
             connection.close()
         return _check_reply(response.status, data, path)
 
--- a/src/berylturn/process/settings.py
+++ b/src/berylturn/process/settings.py
@@ -5,7 +5,7 @@
 import configparser
 from datetime import timedelta
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
 
@@ -68,7 +68,7 @@
 
     url: str = Field(description="http://IP:PORT of the object API")
     timeout: DurationField = Field(
-        timedelta(seconds=5), description="longest wait for an answer"
+        timedelta(seconds=8), description="longest wait for an answer"
     )
     watch: DurationField = Field(
         timedelta(seconds=30), description="length of one waiting watch"
@@ -160,6 +160,9 @@
     flow_idle: DurationField = Field(
         timedelta(seconds=30), description="a silent flow is closed after this"
     )
+    stop: Literal["hand-over", "drain"] = Field(
+        "hand-over", description="planned stop: hand flows to a successor, or drain"
+    )
     drain_limit: DurationField = Field(
         timedelta(seconds=60), description="longest wait for flows at a planned stop"
     )
--- a/src/berylturn/request/ledger.py
+++ b/src/berylturn/request/ledger.py
@@ -121,6 +121,10 @@
         if len(self._finished) > MAX_ENTRIES:
             self._forget_oldest()
 
+    def withdraw(self, number: int) -> None:
+        """Undo the offer of a number that has certainly not started."""
+        self._running.discard(number)
+
     def advance(self, low_water: int) -> None:
         """Forget outcomes below `low_water`, which the caller has received."""
         if low_water <= self._floor:
--- /dev/null
+++ b/src/berylturn_standins/scenarios.py
@@ -0,0 +1,151 @@
+"""Scenarios: planned changes and failures acted out on a deployment."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+
+from .deployment import BalancerPlan, Deployment, ServerPlan
+
+SETTLE_SECONDS = 1.0
+
+Scenario = Callable[[Deployment], Awaitable[None]]
+
+
+async def hold_steady(_deployment: Deployment) -> None:
+    """Change nothing."""
+    await asyncio.sleep(2 * SETTLE_SECONDS)
+
+
+async def kill_balancer(deployment: Deployment) -> None:
+    """End one balancer at once."""
+    await deployment.kill(deployment.plan.balancers[0].name)
+    await asyncio.sleep(3 * SETTLE_SECONDS)
+
+
+async def replace_balancers(deployment: Deployment) -> None:
+    """Replace every balancer, one after another."""
+    for plan in deployment.plan.balancers:
+        new = BalancerPlan(f"{plan.name}-new", plan.data_centre)
+        await deployment.start_balancer(new)
+        await wait_fabric(deployment, len(deployment.plan.balancers) + 1)
+        await deployment.stop(plan.name)
+        await wait_fabric(deployment, len(deployment.plan.balancers))
+
+
+async def replace_agents(deployment: Deployment, rounds: int = 1) -> None:
+    """Replace every agent in place, one after another."""
+    for _ in range(rounds):
+        for plan in deployment.plan.servers:
+            await replace_agent(deployment, plan)
+            await asyncio.sleep(SETTLE_SECONDS / 2)
+
+
+async def replace_agent(deployment: Deployment, plan: ServerPlan) -> None:
+    """Stop one agent and start its successor at the same address."""
+    name = f"{plan.name}-agent"
+    port = deployment.processes[name].ports["peers"]
+    await deployment.stop(name, seconds=60.0)
+    await deployment.start_agent(plan, port)
+
+
+async def kill_agent(deployment: Deployment) -> None:
+    """End one agent at once and start another a while later."""
+    plan = deployment.plan.servers[0]
+    name = f"{plan.name}-agent"
+    port = deployment.processes[name].ports["peers"]
+    await deployment.kill(name)
+    await asyncio.sleep(3 * SETTLE_SECONDS)
+    await deployment.start_agent(plan, port)
+    await asyncio.sleep(SETTLE_SECONDS)
+
+
+async def pause_agent(deployment: Deployment) -> None:
+    """Freeze one agent for longer than every time-out, then resume it."""
+    name = f"{deployment.plan.servers[0].name}-agent"
+    await deployment.signal(name, signal.SIGSTOP)
+    await asyncio.sleep(8 * SETTLE_SECONDS)
+    await deployment.signal(name, signal.SIGCONT)
+    await asyncio.sleep(2 * SETTLE_SECONDS)
+
+
+async def pause_balancer(deployment: Deployment) -> None:
+    """Freeze one balancer for longer than every time-out, then resume it."""
+    name = deployment.plan.balancers[0].name
+    await deployment.signal(name, signal.SIGSTOP)
+    await asyncio.sleep(8 * SETTLE_SECONDS)
+    await deployment.signal(name, signal.SIGCONT)
+    await asyncio.sleep(2 * SETTLE_SECONDS)
+
+
+async def drain_server(deployment: Deployment) -> None:
+    """Drain one backend server by its label."""
+    server = deployment.plan.servers[0].name
+    await set_label(deployment, f"server/{server}", "state=drain")
+    await asyncio.sleep(3 * SETTLE_SECONDS)
+
+
+async def restart_backend(deployment: Deployment) -> None:
+    """Let one backend server fall back into cold start, unannounced."""
+    await deployment.post(deployment.plan.servers[0].name, "/_restart")
+    await asyncio.sleep(3 * SETTLE_SECONDS)
+
+
+async def change_shares(deployment: Deployment) -> None:
+    """Move all shares to one data centre, then back to both."""
+    service = deployment.plan.services[0]
+    centres = sorted({s.data_centre for s in deployment.plan.servers})
+    one = {name: 0 for name in centres} | {centres[0]: 100}
+    await deployment.apply_selector(service, one)
+    await asyncio.sleep(SETTLE_SECONDS)
+    await deployment.apply_selector(service)
+    await asyncio.sleep(SETTLE_SECONDS)
+
+
+async def take_data_centre_out(deployment: Deployment) -> None:
+    """Take one data centre out and bring it back."""
+    centre = deployment.plan.servers[0].data_centre
+    await set_label(deployment, f"data-centre/{centre}", "state=out")
+    await asyncio.sleep(4 * SETTLE_SECONDS)
+    await set_label(deployment, f"data-centre/{centre}", "state=in")
+    await asyncio.sleep(4 * SETTLE_SECONDS)
+
+
+async def fail_platform(deployment: Deployment) -> None:
+    """Let the platform be down while a balancer dies and another joins."""
+    await deployment.post("platform", "/_switches", {"outage": True})
+    await deployment.kill(deployment.plan.balancers[0].name)
+    centre = deployment.plan.balancers[0].data_centre
+    await deployment.start_balancer(BalancerPlan("entry-late", centre))
+    await wait_fabric(deployment, len(deployment.plan.balancers))
+    await asyncio.sleep(2 * SETTLE_SECONDS)
+    await deployment.post("platform", "/_switches", {"outage": False})
+    await asyncio.sleep(SETTLE_SECONDS)
+
+
+async def silence_connections(deployment: Deployment) -> None:
+    """Make all open connections through proxies and the fabric go silent."""
+    for name in list(deployment.processes):
+        if name.endswith("-proxy"):
+            await deployment.post(name, "/_silence")
+    await asyncio.sleep(4 * SETTLE_SECONDS)
+    await deployment.post("fabric", "/_silence")
+    await asyncio.sleep(4 * SETTLE_SECONDS)
+
+
+async def set_label(deployment: Deployment, target: str, label: str) -> None:
+    """Set one label and wait until it is in force at every balancer."""
+    status, output = await deployment.tool("label", "set", target, label, "--wait")
+    if status != 0:
+        raise AssertionError(output)
+
+
+async def wait_fabric(deployment: Deployment, balancers: int) -> None:
+    """Wait until the fabric sprays over that many balancers."""
+
+    async def reached() -> bool:
+        stats = await deployment.get("fabric", "/_stats")
+        return stats["balancers"] == balancers
+
+    await deployment.wait_until(reached, f"{balancers} balancers in the fabric")
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,122 @@
+"""Failures and planned changes on real processes, judged by the records."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from berylturn_standins import scenarios
+from berylturn_standins.background import BackgroundLoad, LoadShape, Verdict, judge
+from berylturn_standins.deployment import BalancerPlan, Deployment, Plan, ServerPlan
+
+SERVICE = "booking"
+CENTRES = ("patan-hall", "thamel-bar")
+
+
+def build_plan(proxied: bool = False, loss: float = 0.0) -> Plan:
+    """Return 3 balancers and 4 servers in two data centres."""
+    servers = [
+        ServerPlan(
+            f"desk-{i}",
+            SERVICE,
+            CENTRES[i % 2],
+            proxied=proxied,
+            backend_proxied=proxied,
+        )
+        for i in range(4)
+    ]
+    balancers = [BalancerPlan(f"entry-{i}", CENTRES[i % 2]) for i in range(3)]
+    return Plan([SERVICE], servers, balancers, loss=loss)
+
+
+class Failures(unittest.IsolatedAsyncioTestCase):
+    """Each scenario under load; what must never happen did not happen."""
+
+    async def asyncSetUp(self):
+        asyncio.get_running_loop().set_debug(False)
+
+    async def play(self, scenario, plan=None, shape=None) -> Verdict:
+        async with Deployment(plan or build_plan()) as deployment:
+            await deployment.apply_labels()
+            await deployment.apply_selector(SERVICE)
+            await deployment.wait_servers(SERVICE, 4)
+            await scenarios.wait_fabric(deployment, 3)
+            load = BackgroundLoad(deployment, shape or LoadShape(SERVICE))
+            async with load:
+                await asyncio.sleep(scenarios.SETTLE_SECONDS)
+                await scenario(deployment)
+            verdict = await judge(deployment, load)
+        self.assertEqual(verdict.violations, {}, verdict)
+        self.assertGreater(verdict.answered, 100)
+        self.assertGreater(verdict.stream_items, 0)
+        return verdict
+
+    def check_nothing_lost(self, verdict):
+        """Every request answered, and no flow ended by the system."""
+        self.assertEqual(verdict.broken_flows, 0, verdict)
+        self.assertEqual(verdict.answered, verdict.requests, verdict)
+        self.assertEqual(verdict.streams_reopened, 0, verdict)
+
+    async def check_planned(self, scenario, plan=None, shape=None):
+        self.check_nothing_lost(await self.play(scenario, plan, shape))
+
+    async def test_balancer_killed(self):
+        await self.check_planned(scenarios.kill_balancer)
+
+    async def test_balancers_replaced(self):
+        await self.check_planned(scenarios.replace_balancers)
+
+    async def test_agents_replaced_in_place(self):
+        await self.check_planned(scenarios.replace_agents)
+
+    async def test_shares_changed(self):
+        await self.check_planned(scenarios.change_shares)
+
+    async def test_server_drained(self):
+        await self.check_planned(scenarios.drain_server)
+
+    async def test_platform_down_while_balancers_change(self):
+        await self.check_planned(scenarios.fail_platform)
+
+    async def test_balancer_paused(self):
+        await self.check_planned(scenarios.pause_balancer)
+
+    async def test_lossy_fabric(self):
+        await self.check_planned(scenarios.hold_steady, build_plan(loss=5.0))
+
+    async def test_connections_go_silent(self):
+        verdict = await self.play(
+            scenarios.silence_connections,
+            build_plan(proxied=True),
+            LoadShape(SERVICE, pause=0.4),
+        )
+        self.assertEqual(verdict.broken_flows, 0, verdict)
+        self.assertLess(verdict.longest_gap, 3.0)
+
+    async def check_local(self, scenario):
+        """Flows end only where the failure is, and go on elsewhere in time."""
+        verdict = await self.play(scenario)
+        self.assertLess(verdict.broken_flows, 40)
+        self.assertLess(verdict.longest_gap, 3.0)
+
+    async def test_agent_killed(self):
+        await self.check_local(scenarios.kill_agent)
+
+    async def test_agent_paused(self):
+        await self.check_local(scenarios.pause_agent)
+
+    async def test_backend_server_restarted(self):
+        await self.check_local(scenarios.restart_backend)
+
+    async def test_data_centre_taken_out(self):
+        await self.check_local(scenarios.take_data_centre_out)
+
+    async def test_agent_replaced_with_slow_platform(self):
+        async def replace_slowly(deployment):
+            await deployment.post("platform", "/_switches", {"delay": 1.0})
+            await scenarios.replace_agent(deployment, deployment.plan.servers[0])
+            await asyncio.sleep(4.0)
+
+        shape = LoadShape(SERVICE, deadline=timedelta(seconds=20))
+        await self.check_planned(replace_slowly, shape=shape)
