Correct placement by reports of equal age, and measure what users measure

Cause: an agent compared its own flows of now with siblings' flows of up to 250 ms ago, so in a burst everybody looked loaded to itself and passed flows on to the same sibling; 558 of 660 flows were passed on and spread 15 to 36 per unit of speed. Ruled out: the budget (not reached), placement (26 to 32 per unit without passing). Tried first: a chance in proportion to what siblings lack; 17 to 35, no better alone. Change: the excess is judged on the flows last reported, at most that excess is passed on in a period, and siblings are drawn in proportion to what they lack.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,17 @@
 format: setup
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+SHAPE ?= himshell
+SCENARIO ?= steady
+POLICY ?= product
+SEED ?= 1
+
+measure: setup
+	$(BIN)/python -m bench.measure --shape=$(SHAPE) --scenario=$(SCENARIO) --policy=$(POLICY) --seed=$(SEED)
+
+measure-all: setup
+	$(BIN)/python -m bench.measure_all
+
+slopes: setup
+	$(BIN)/python -m bench.slopes
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements over the stand-ins."""
--- a/src/berylturn/connection/admission.py
+++ b/src/berylturn/connection/admission.py
@@ -133,7 +133,7 @@
         self._next_scan = 0.0
         self._digest_sequence = 0
         self._counters: Counter[str] = Counter()
-        self.siblings = Siblings()
+        self.siblings = Siblings(identity.name)
         self.stopping = False
         self._closing = False
         self._parked = False
@@ -183,6 +183,7 @@
     def on_packet(self, frame: ToAgent, source: Address, now: float) -> None:
         """Take a caller's packet that a balancer or a sibling delivered."""
         balancer = frame.balancer or source
+        self._counters["packets.from_callers"] += 1
         if frame.balancer is None:
             self._balancers_heard[source] = now
         try:
@@ -310,6 +311,7 @@
     def load_digest(self) -> LoadDigest:
         """Return this agent's load for its siblings."""
         self._digest_sequence += 1
+        self.siblings.on_own_digest(self._gate.flows)
         limits = self._gate.limits
         services = self._view.services_of(self._identity.name)
         return LoadDigest(
--- a/src/berylturn/connection/siblings.py
+++ b/src/berylturn/connection/siblings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -10,7 +11,8 @@
 
 FRESH_SECONDS = 1.5
 MAX_HOPS = 2
-CLEARLY_LESS = 0.8
+MIN_EXCESS = 1.0
+MIN_EXCESS_SHARE = 0.05
 PASS_SHARE = 0.5
 PASS_RESERVE = 32.0
 
@@ -21,6 +23,11 @@
     heard_at: float
     passed: int = 0
 
+    @property
+    def flows(self) -> int:
+        """Return the flows of the digest and those passed on since."""
+        return self.digest.flows + self.passed
+
 
 class Siblings:
     """Know the agents of the same services and how loaded they are.
@@ -31,10 +38,13 @@
     >>> siblings.choose("booking", flows=9, weight=3.0, full=False, visited=[], now=0.0)
     """
 
-    def __init__(self) -> None:
+    def __init__(self, seed: str = "") -> None:
+        self._random = random.Random(seed)
         self._members: dict[str, MemberState] = {}
         self._known: dict[str, _Known] = {}
         self._budget = RetryBudget(PASS_SHARE, PASS_RESERVE)
+        self._reported_flows = 0
+        self._passed = 0
 
     @property
     def members(self) -> dict[str, MemberState]:
@@ -53,6 +63,15 @@
             return
         self._known[digest.name] = _Known(digest, now)
 
+    def on_own_digest(self, flows: int) -> None:
+        """Note the flows that this agent has just told its siblings.
+
+        Excess is judged on reports of the same age on all sides: flows that
+        arrived since then arrived at the siblings too.
+        """
+        self._reported_flows = flows
+        self._passed = 0
+
     def on_first_arrival(self) -> None:
         """Earn a share of the budget for passing flows on."""
         self._budget.on_first_attempt()
@@ -81,27 +100,43 @@
         now : float
             Seconds on the monotonic clock.
         """
-        here = (flows + 1) / weight
-        best, best_load = None, here if full else CLEARLY_LESS * here
-        if full:
-            best_load = float("inf")
-        for name, known in self._known.items():
-            load = self._load(name, known, service, visited, now)
-            if load is not None and load < best_load:
-                best, best_load = name, load
-        if best is None or not self._budget.spend():
-            return None
-        self._known[best].passed += 1
-        return self._members[best]
-
-    def _load(
-        self, name: str, known: _Known, service: str, visited: list[str], now: float
-    ) -> float | None:
-        digest = known.digest
-        if name in visited or name not in self._members:
+        fresh = self._fresh(service, now)
+        mine = min(flows, self._reported_flows)
+        total = mine + sum(k.digest.flows for k in fresh.values())
+        capacity = weight + sum(k.digest.weight for k in fresh.values())
+        fair = total / capacity
+        excess = mine - self._passed - fair * weight
+        if not full and excess <= max(MIN_EXCESS, MIN_EXCESS_SHARE * fair * weight):
             return None
-        if now - known.heard_at > FRESH_SECONDS or not digest.accepting:
-            return None
-        if service not in digest.services or digest.weight <= 0:
+        deficits = {
+            name: fair * known.digest.weight - known.flows
+            for name, known in fresh.items()
+            if name not in visited
+        }
+        return self._draw(deficits)
+
+    def _draw(self, deficits: dict[str, float]) -> MemberState | None:
+        """Pick a sibling with a chance in proportion to what it lacks.
+
+        Always picking the least loaded would send all flows of one digest period
+        to the same sibling.
+        """
+        lacking = {name: gap for name, gap in deficits.items() if gap > 0}
+        if not lacking or not self._budget.spend():
             return None
-        return (digest.flows + known.passed + 1) / digest.weight
+        names = list(lacking)
+        chosen = self._random.choices(names, [lacking[name] for name in names])[0]
+        self._known[chosen].passed += 1
+        self._passed += 1
+        return self._members[chosen]
+
+    def _fresh(self, service: str, now: float) -> dict[str, _Known]:
+        return {
+            name: known
+            for name, known in self._known.items()
+            if name in self._members
+            and now - known.heard_at <= FRESH_SECONDS
+            and known.digest.accepting
+            and known.digest.weight > 0
+            and service in known.digest.services
+        }
--- a/src/berylturn_standins/backend.py
+++ b/src/berylturn_standins/backend.py
@@ -67,6 +67,8 @@
         self.crossed = 0
         self.cancelled = 0
         self.flows: set[str] = set()
+        self._busy_seconds = 0.0
+        self._busy_since = time.monotonic()
 
     async def start(self, host: str, port: int) -> web.AppRunner:
         """Start to listen."""
@@ -77,6 +79,7 @@
         app.router.add_get("/health", self._health)
         app.router.add_get("/load", self._load)
         app.router.add_get("/_record", self._record)
+        app.router.add_get("/_busy", self._busy)
         app.router.add_post("/_restart", self._restart)
         self._runner = await serve_http(app, host, port)
         return self._runner
@@ -107,7 +110,7 @@
             self._tasks.pop(key, None)
 
     async def _execute(self, body: dict, request: web.Request) -> web.Response:
-        self._running += 1
+        self._change_running(1)
         self.max_running = max(self.max_running, self._running)
         try:
             if self.cold:
@@ -121,7 +124,18 @@
             await asyncio.sleep(seconds * (COLD_SLOWDOWN if self.cold else 1.0))
             return web.Response(body=answer_body(body["id"], body["size"]))
         finally:
-            self._running -= 1
+            self._change_running(-1)
+
+    def _change_running(self, change: int) -> None:
+        now = time.monotonic()
+        self._busy_seconds += self._running * (now - self._busy_since)
+        self._busy_since = now
+        self._running += change
+
+    async def _busy(self, _request: web.Request) -> web.Response:
+        """Return the slot-seconds spent on requests so far."""
+        self._change_running(0)
+        return web.json_response({"busy_seconds": self._busy_seconds})
 
     async def _stream(self, request: web.Request) -> web.StreamResponse:
         body = json.loads(await request.read())
--- a/src/berylturn_standins/deployment.py
+++ b/src/berylturn_standins/deployment.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import configparser
+import itertools
 import json
+import os
 import signal
 import socket
 import sys
@@ -21,6 +23,15 @@
 STOP_SECONDS = 10.0
 POLL_SECONDS = 0.05
 HOST = "127.0.0.1"
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+
+_ports = itertools.cycle(
+    [
+        FIRST_PORT + (os.getpid() * 97 + i) % (LAST_PORT - FIRST_PORT)
+        for i in range(LAST_PORT - FIRST_PORT)
+    ]
+)
 
 
 class DeploymentError(Exception):
@@ -62,6 +73,9 @@
     delay_ms: float = 0.0
     seed: int = 1
     agent_options: dict[str, str] = field(default_factory=dict)
+    statsd_port: int = 0
+    daemon: str = "berylturn.daemon"
+    environment: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass
@@ -358,20 +372,26 @@
     async def _start_daemon(
         self, role: str, name: str, sections: dict, ports: dict[str, int]
     ) -> None:
+        if self.plan.statsd_port:
+            sections["metrics"] = {"statsd": f"{HOST}:{self.plan.statsd_port}"}
         parser = configparser.ConfigParser(interpolation=None)
         parser.read_dict(sections)
         path = self.folder / f"{name}.ini"
         with path.open("w") as file:
             parser.write(file)
         await self._spawn(
-            name, ports, "-m", "berylturn.daemon", role, f"--settings={path}"
+            name, ports, "-m", self.plan.daemon, role, f"--settings={path}"
         )
         self.processes[name].settings = path
 
     async def _spawn(self, name: str, ports: dict[str, int], *arguments: str) -> None:
         errors = (self.folder / f"{name}.err").open("ab")
         process = await asyncio.create_subprocess_exec(
-            sys.executable, *arguments, stdout=errors, stderr=errors
+            sys.executable,
+            *arguments,
+            stdout=errors,
+            stderr=errors,
+            env={**os.environ, **self.plan.environment},
         )
         errors.close()
         self.processes[name] = Running(process, ports)
@@ -409,12 +429,16 @@
 
 
 def free_port() -> int:
-    """Return a port that is free for UDP and TCP at the moment."""
+    """Return a port that is free for UDP and TCP at the moment.
+
+    Ports that the system gives to outgoing sockets are left out, since one of
+    those could take the port before the process that it is meant for.
+    """
     while True:
+        port = next(_ports)
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((HOST, 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind((HOST, port))
                 udp.bind((HOST, port))
             except OSError:
                 continue
