Shorten the gap of a hand-over and refuse late work truthfully

Cause: a successor started after its predecessor had stopped, so callers waited for an interpreter to start; requests near their deadline were started and then timed out while their slot was taken again, which made the server shed. Change: a successor may wait for the port; waiting requests that cannot finish are refused; a timed-out request is cancelled before its slot is free; stream items go through live balancers in turn and callers repeat what they miss.

--- a/src/berylturn/caller.py
+++ b/src/berylturn/caller.py
@@ -53,6 +53,7 @@
 PING_IDLE_SECONDS = 5.0
 PING_STREAM_SECONDS = 0.25
 PING_RETRY_SECONDS = 0.2
+GAP_RETRY_SECONDS = 0.1
 REBIND_SILENT_SECONDS = 0.7
 LOST_SILENT_SECONDS = 2.0
 CLOSED_LINGER_SECONDS = 1.5
@@ -497,13 +498,17 @@
         while inbox.next_sequence in inbox.early:
             inbox.queue.put_nowait(inbox.early.pop(inbox.next_sequence))
             inbox.next_sequence += 1
+        if inbox.next_sequence < inbox.total:
+            self._ask_items(number, inbox)
+        elif inbox.ended:
+            inbox.queue.put_nowait(None)
+
+    def _ask_items(self, number: int, inbox: _StreamInbox) -> None:
         if inbox.next_sequence < inbox.total:
             last = min(inbox.total, inbox.next_sequence + WINDOW_PARTS)
             wanted = range(inbox.next_sequence, last)
             missing = [s for s in wanted if s not in inbox.early]
             self._send_bytes(encode_packet(Missing(self._token, number, missing)))
-        elif inbox.ended:
-            inbox.queue.put_nowait(None)
 
     def _on_closed(self, reason: CloseReason) -> None:
         if reason is CloseReason.DRAINED and not self._closing:
@@ -551,16 +556,22 @@
             interval = PING_STREAM_SECONDS if self._streams else PING_IDLE_SECONDS
             if self._awaiting_since is not None:
                 interval = PING_RETRY_SECONDS
-            await asyncio.sleep(min(interval, PING_STREAM_SECONDS * 2))
+            await asyncio.sleep(min(interval, self._watch_pause()))
             now = self._clock.monotonic()
             if now - pinged_at >= interval:
                 pinged_at = now
                 self._send_ping()
-            for inbox in self._streams.values():
+            for number, inbox in list(self._streams.items()):
                 if not inbox.heard:
                     self._send_bytes(inbox.packet)
+                else:
+                    self._ask_items(number, inbox)
             self._check_silence()
 
+    def _watch_pause(self) -> float:
+        gaps = any(i.next_sequence < i.total for i in self._streams.values())
+        return GAP_RETRY_SECONDS if gaps else 2 * PING_STREAM_SECONDS
+
     def _check_silence(self) -> None:
         if self._awaiting_since is None:
             return
--- a/src/berylturn/connection/admission.py
+++ b/src/berylturn/connection/admission.py
@@ -67,6 +67,8 @@
 STREAM_HEARTBEAT_SECONDS = 0.3
 STREAM_LINGER_SECONDS = 5.0
 BALANCER_SILENT_SECONDS = 1.5
+LIVE_SECONDS = 0.25
+FORGET_SECONDS = 60.0
 MAX_KEPT_ANSWER_BYTES = 16_000_000
 MAX_REQUEST_PARTS = 1200
 MAX_ASSEMBLIES = 16
@@ -128,6 +130,9 @@
         self._work: dict[tuple[bytes, int], _Work] = {}
         self._effects: list[Effect] = []
         self._balancers_heard: dict[Address, float] = {}
+        self._live_balancers: list[Address] = []
+        self._live_until = 0.0
+        self._turn = 0
         self._kept_bytes = 0
         self._streaming: set[bytes] = set()
         self._next_scan = 0.0
@@ -253,6 +258,7 @@
             self._next_scan = now + SCAN_SECONDS
             self._expire_flows(now)
             self._bound_kept_answers()
+            self._forget_balancers(now)
 
     def close_all(self, reason: CloseReason, now: float) -> None:
         """End every flow."""
@@ -308,6 +314,11 @@
         self._work[(flow.flow_id, number)] = _Work(request, None, started=True)
         self._effects.append(request)
 
+    @property
+    def digest_is_stale(self) -> bool:
+        """Tell whether the load has moved far from what siblings were told."""
+        return self.siblings.is_stale(self._gate.flows)
+
     def load_digest(self) -> LoadDigest:
         """Return this agent's load for its siblings."""
         self._digest_sequence += 1
@@ -549,7 +560,7 @@
             if waiting is None:
                 return
             work = self._work[(waiting.flow_id, waiting.number)]
-            if waiting.deadline <= now:
+            if waiting.deadline <= now + self._gate.service_seconds:
                 self._refuse_waiting(waiting, RefusalReason.DEADLINE, now)
                 continue
             self._gate.start()
@@ -713,6 +724,11 @@
                 self._counters["flows.expired"] += 1
                 self._end_flow(flow, CloseReason.EXPIRED, now)
 
+    def _forget_balancers(self, now: float) -> None:
+        heard = self._balancers_heard
+        for address in [a for a, t in heard.items() if now - t > FORGET_SECONDS]:
+            del heard[address]
+
     def _beat_streams(self, flow_id: bytes, now: float) -> None:
         flow = self._flows.get(flow_id)
         if flow is None or not flow.streams:
@@ -729,7 +745,7 @@
     ) -> None:
         incarnation = self._identity.incarnation
         item = StreamItem(flow.flow_id, incarnation, number, sequence, body)
-        self._send(flow, item, now)
+        self._send_around(flow, item, now)
 
     def _send_stream_state(
         self, flow: Flow, number: int, stream: Stream, now: float
@@ -742,12 +758,31 @@
             stream.next_sequence,
             stream.ended,
         )
-        self._send(flow, state, now)
+        self._send_around(flow, state, now)
 
     def _send(self, flow: Flow, packet: Packet, now: float) -> None:
         balancer = self._reply_balancer(flow.balancer, now)
         self._effects.append(SendToCaller(flow.caller, balancer, encode_packet(packet)))
 
+    def _send_around(self, flow: Flow, packet: Packet, now: float) -> None:
+        """Send through the live balancers in turn.
+
+        What goes through one that has just died is missed at the next item, not
+        only when the caller's next packet names another balancer.
+        """
+        if now >= self._live_until:
+            self._live_until = now + LIVE_SECONDS
+            self._live_balancers = [
+                address
+                for address, heard in self._balancers_heard.items()
+                if now - heard <= BALANCER_SILENT_SECONDS
+            ]
+        balancer = flow.balancer
+        if self._live_balancers:
+            self._turn += 1
+            balancer = self._live_balancers[self._turn % len(self._live_balancers)]
+        self._effects.append(SendToCaller(flow.caller, balancer, encode_packet(packet)))
+
     def _reply_balancer(self, preferred: Address, now: float) -> Address:
         """Return the balancer of the flow, or a live one when it is silent."""
         heard = self._balancers_heard
--- a/src/berylturn/connection/siblings.py
+++ b/src/berylturn/connection/siblings.py
@@ -11,6 +11,8 @@
 
 FRESH_SECONDS = 1.5
 MAX_HOPS = 2
+STALE_FLOWS = 3
+STALE_SHARE = 0.05
 MIN_EXCESS = 1.0
 MIN_EXCESS_SHARE = 0.05
 PASS_SHARE = 0.5
@@ -72,6 +74,11 @@
         self._reported_flows = flows
         self._passed = 0
 
+    def is_stale(self, flows: int) -> bool:
+        """Tell whether `flows` is far from what siblings were last told."""
+        change = abs(flows - self._reported_flows)
+        return change > max(STALE_FLOWS, STALE_SHARE * self._reported_flows)
+
     def on_first_arrival(self) -> None:
         """Earn a share of the budget for passing flows on."""
         self._budget.on_first_attempt()
--- a/src/berylturn/process/agent.py
+++ b/src/berylturn/process/agent.py
@@ -50,7 +50,7 @@
 from .metrics import Metrics
 from .platform import HttpPlatform
 from .settings import AgentSettings, make_key_ring
-from .sockets import open_udp
+from .sockets import open_udp, open_udp_when_free
 from .succession import claim_snapshot, platform_answers, write_snapshot
 from .tasks import TaskGroup
 
@@ -110,6 +110,7 @@
         self._start_tasks()
         await self._tasks.stop.wait()
         await self._stop_serving()
+        self._peers.close()
         await self._tasks.cancel_all()
         await self._backend.close()
         self._platform.close()
@@ -136,7 +137,8 @@
 
     async def _open_sockets(self) -> None:
         listen = self._settings.listen.peers
-        self._peers = await open_udp(listen, self._on_frame)
+        wait = self._settings.agent.takeover.total_seconds()
+        self._peers = await open_udp_when_free(listen, self._on_frame, wait)
         self._announcer = await open_udp((listen[0], 0), self._on_frame)
 
     async def _take_over(self) -> None:
@@ -275,7 +277,9 @@
             return DidNotRun(RefusalReason.SHED, SHED_RETRY_MS)
         except ConnectionBroken as error:
             self._metrics.count("requests.unknown")
-            if not isinstance(error.__cause__, TimeoutError):
+            if isinstance(error.__cause__, TimeoutError):
+                await self._backend.cancel(request.flow_id, request.number)
+            else:
                 self._on_cold_sign("reset")
             return MayHaveRun()
         self._metrics.count("requests.answered")
@@ -368,14 +372,18 @@
 
     async def _send_digests(self) -> None:
         period = self._settings.agent.digest.total_seconds()
+        sent_at = 0.0
         while True:
-            await asyncio.sleep(period)
-            siblings = self._rules.siblings.members
-            if not siblings:
-                continue
-            data = seal_frame(self._rules.load_digest(), self._keys)
-            for member in siblings.values():
-                self._peers.sendto(data, member.address)
+            await asyncio.sleep(TICK_SECONDS)
+            now = self._clock.monotonic()
+            if now - sent_at >= period or self._rules.digest_is_stale:
+                sent_at = now
+                self._send_digest()
+
+    def _send_digest(self) -> None:
+        data = seal_frame(self._rules.load_digest(), self._keys)
+        for member in self._rules.siblings.members.values():
+            self._peers.sendto(data, member.address)
 
     async def _close_idle(self) -> None:
         while True:
--- a/src/berylturn/process/settings.py
+++ b/src/berylturn/process/settings.py
@@ -163,6 +163,9 @@
     stop: Literal["hand-over", "drain"] = Field(
         "hand-over", description="planned stop: hand flows to a successor, or drain"
     )
+    takeover: DurationField = Field(
+        timedelta(0), description="longest wait for a predecessor to free the port"
+    )
     drain_limit: DurationField = Field(
         timedelta(seconds=60), description="longest wait for flows at a planned stop"
     )
--- a/src/berylturn/process/sockets.py
+++ b/src/berylturn/process/sockets.py
@@ -12,6 +12,7 @@
 Receiver = Callable[[bytes, Address], None]
 
 BUFFER_BYTES = 4_000_000
+PORT_POLL_SECONDS = 0.02
 
 
 class _Protocol(asyncio.DatagramProtocol):
@@ -22,6 +23,19 @@
         """Ignore errors of single datagrams; retransmission covers them."""
 
 
+async def open_udp_when_free(
+    address: Address, receiver: Receiver, seconds: float
+) -> asyncio.DatagramTransport:
+    """Return a bound socket, waiting for another process to free the port."""
+    attempts = max(1, int(seconds / PORT_POLL_SECONDS))
+    for _ in range(attempts - 1):
+        try:
+            return await open_udp(address, receiver)
+        except SettingsError:
+            await asyncio.sleep(PORT_POLL_SECONDS)
+    return await open_udp(address, receiver)
+
+
 async def open_udp(address: Address, receiver: Receiver) -> asyncio.DatagramTransport:
     """Return a bound socket that hands each datagram to `receiver`."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/src/berylturn/request/queue.py
+++ b/src/berylturn/request/queue.py
@@ -5,6 +5,8 @@
 from collections import deque
 from dataclasses import dataclass
 
+WAIT_MARGIN = 1.1
+
 
 @dataclass(eq=False)
 class Waiting:
@@ -62,7 +64,7 @@
         if len(self._waiting) >= self._max_length:
             return False
         ahead = len(self._waiting) / max(limit, 1)
-        return now + (ahead + 1) * service_seconds <= deadline
+        return now + WAIT_MARGIN * (ahead + 1) * service_seconds <= deadline
 
     def push(self, waiting: Waiting) -> None:
         """Add a request at the end."""
--- a/src/berylturn_standins/deployment.py
+++ b/src/berylturn_standins/deployment.py
@@ -179,7 +179,10 @@
             await self.start_proxy(f"{plan.name}-backend-proxy", port)
 
     async def start_agent(self, plan: ServerPlan, port: int | None = None) -> None:
-        """Start the agent of one backend server."""
+        """Start the agent of one backend server.
+
+        With `port`, it waits for a predecessor to free that port.
+        """
         ports = {"peers": port or free_port()}
         backend = self._front(f"{plan.name}-backend-proxy", plan.name, "http")
         sections = {
@@ -188,7 +191,11 @@
             "backend": {"url": f"http://{HOST}:{backend}"},
             "platform": {"url": self.platform_url, "timeout": "2s"},
             "keys": {"current": KEY},
-            "agent": {"announce": "300ms", **self.plan.agent_options},
+            "agent": {
+                "announce": "300ms",
+                "takeover": "60s" if port else "0s",
+                **self.plan.agent_options,
+            },
             "peers": {"seeds": self._seeds()},
             "logs": {"file": str(self.folder / f"{plan.name}-agent.log")},
         }
@@ -245,10 +252,7 @@
 
     async def stop(self, name: str, seconds: float = STOP_SECONDS) -> int:
         """Stop one process gracefully; return its exit status."""
-        running = self.processes.pop(name)
-        running.process.terminate()
-        async with asyncio.timeout(seconds):
-            return await running.process.wait()
+        return await stop_process(self.processes.pop(name), seconds)
 
     async def kill(self, name: str) -> None:
         """End one process at once."""
@@ -428,6 +432,13 @@
         return f"http://{HOST}:{ports.get('admin', ports.get('http'))}"
 
 
+async def stop_process(running: Running, seconds: float = STOP_SECONDS) -> int:
+    """Stop one process gracefully; return its exit status."""
+    running.process.terminate()
+    async with asyncio.timeout(seconds):
+        return await running.process.wait()
+
+
 def free_port() -> int:
     """Return a port that is free for UDP and TCP at the moment.
 
--- a/src/berylturn_standins/scenarios.py
+++ b/src/berylturn_standins/scenarios.py
@@ -6,7 +6,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
-from .deployment import BalancerPlan, Deployment, ServerPlan
+from .deployment import BalancerPlan, Deployment, ServerPlan, stop_process
 
 SETTLE_SECONDS = 1.0
 
@@ -43,11 +43,12 @@
 
 
 async def replace_agent(deployment: Deployment, plan: ServerPlan) -> None:
-    """Stop one agent and start its successor at the same address."""
+    """Start the successor of an agent at the same address, then stop the agent."""
     name = f"{plan.name}-agent"
-    port = deployment.processes[name].ports["peers"]
-    await deployment.stop(name, seconds=60.0)
-    await deployment.start_agent(plan, port)
+    old = deployment.processes.pop(name)
+    await deployment.start_agent(plan, old.ports["peers"])
+    await asyncio.sleep(SETTLE_SECONDS)
+    await stop_process(old, seconds=90.0)
 
 
 async def kill_agent(deployment: Deployment) -> None:
