Count the turn of live balancers for each stream

Cause: items of all streams of an agent shared one count, so with as many streams as balancers every item of a stream went through the same one, also when it was dead.

--- a/src/berylturn/connection/admission.py
+++ b/src/berylturn/connection/admission.py
@@ -231,7 +231,7 @@
         for start in range(0, len(data), PART_BYTES):
             body = data[start : start + PART_BYTES]
             sequence = stream.add(body)
-            self._send_item(flow, number, sequence, body, now)
+            self._send_item(flow, number, sequence, body, sequence, now)
         stream.last_sent = now
 
     def on_stream_end(self, flow_id: bytes, number: int, now: float) -> None:
@@ -633,7 +633,9 @@
             for sequence in wanted:
                 body = stream.item(sequence)
                 if body is not None:
-                    self._send_item(flow, packet.number, sequence, body, now)
+                    self._turn += 1
+                    turn = sequence + self._turn
+                    self._send_item(flow, packet.number, sequence, body, turn, now)
             return
         outcome = flow.ledger.outcome(packet.number)
         if isinstance(outcome, Answered):
@@ -741,11 +743,17 @@
                 self._send_stream_state(flow, number, stream, now)
 
     def _send_item(
-        self, flow: Flow, number: int, sequence: int, body: bytes, now: float
+        self,
+        flow: Flow,
+        number: int,
+        sequence: int,
+        body: bytes,
+        turn: int,
+        now: float,
     ) -> None:
         incarnation = self._identity.incarnation
         item = StreamItem(flow.flow_id, incarnation, number, sequence, body)
-        self._send_around(flow, item, now)
+        self._send_around(flow, item, turn, now)
 
     def _send_stream_state(
         self, flow: Flow, number: int, stream: Stream, now: float
@@ -758,17 +766,20 @@
             stream.next_sequence,
             stream.ended,
         )
-        self._send_around(flow, state, now)
+        self._turn += 1
+        self._send_around(flow, state, self._turn, now)
 
     def _send(self, flow: Flow, packet: Packet, now: float) -> None:
         balancer = self._reply_balancer(flow.balancer, now)
         self._effects.append(SendToCaller(flow.caller, balancer, encode_packet(packet)))
 
-    def _send_around(self, flow: Flow, packet: Packet, now: float) -> None:
+    def _send_around(self, flow: Flow, packet: Packet, turn: int, now: float) -> None:
         """Send through the live balancers in turn.
 
         What goes through one that has just died is missed at the next item, not
-        only when the caller's next packet names another balancer.
+        only when the caller's next packet names another balancer. The turn is
+        counted for each stream: a common count would send every item of a stream
+        through the same balancer when as many streams as balancers are open.
         """
         if now >= self._live_until:
             self._live_until = now + LIVE_SECONDS
@@ -779,8 +790,7 @@
             ]
         balancer = flow.balancer
         if self._live_balancers:
-            self._turn += 1
-            balancer = self._live_balancers[self._turn % len(self._live_balancers)]
+            balancer = self._live_balancers[turn % len(self._live_balancers)]
         self._effects.append(SendToCaller(flow.caller, balancer, encode_packet(packet)))
 
     def _reply_balancer(self, preferred: Address, now: float) -> Address:
