End flows of a lost backend server, keep the directory clean, prove more failures

Cause: when a backend server was gone for good its agent kept its flows and answered not-run for ever; a killed balancer stayed in the directory, so a waiting operator's tool failed although the change was in force at all live balancers. Change: after 1 s without a connection the agent ends its flows and refuses new ones; one live balancer deletes the entries of dead ones, and one that was wrongly held dead registers again; the tool leaves out balancers that nobody holds alive. Proof: lost backend server, data centre starting cold, two data centres cut off from each other, drain while balancers die and join, no packet to a data centre that is out, operators racing, lost answers, a tool killed while it writes.

--- a/src/berylturn/cli.py
+++ b/src/berylturn/cli.py
@@ -41,7 +41,7 @@
 
 PLATFORM_VARIABLE = "BERYLTURN_PLATFORM"
 TIMEOUT = timedelta(seconds=5)
-WAIT_SECONDS = 10.0
+WAIT_SECONDS = 15.0
 POLL_SECONDS = 0.1
 EXIT_FAILED = 1
 EXIT_CONFLICT = 2
@@ -82,7 +82,10 @@
         }
 
     async def wait_in_force(self, name: str, version: int) -> None:
-        """Return when every balancer has `version`, or raise `NotInForce`."""
+        """Return when every live balancer has `version`, or raise `NotInForce`.
+
+        A balancer that does not answer and that no other holds alive is left out.
+        """
         deadline = time.monotonic() + WAIT_SECONDS
         while True:
             behind = await self._behind(name, version)
@@ -101,22 +104,28 @@
             self._check(node, target, name, version)
             for node, target in balancers.items()
         ]
-        found = await asyncio.gather(*calls)
-        return [problem for problem in found if problem]
+        replies = dict(zip(balancers, await asyncio.gather(*calls), strict=True))
+        answers = [r for r in replies.values() if isinstance(r, StatusReply)]
+        seen_alive = {m.name for answer in answers for m in answer.balancers}
+        return [
+            _describe_lag(node, reply)
+            for node, reply in replies.items()
+            if (node in seen_alive or not answers) and _is_behind(reply, version)
+        ]
 
-    async def _check(self, node: str, target: str, name: str, version: int) -> str:
+    async def _check(
+        self, node: str, target: str, name: str, version: int
+    ) -> StatusReply | ControlError:
         try:
             reply: StatusReply = await call_control(
                 target, "Status", StatusRequest(name), self.tls
             )
         except ControlError as error:
-            return f"{node} ({error})"
-        if reply.version < version:
-            return f"{node} (has version {reply.version})"
+            return error
         for problem in reply.problems:
-            if problem.name == name and problem.version == version:
+            if problem.name == name and problem.version >= version:
                 raise SelectorError(f"{node} refused {name}: {problem.reason}")
-        return ""
+        return reply
 
 
 class LabelCommands:
@@ -321,6 +330,16 @@
     return json.dumps(body).encode()
 
 
+def _is_behind(reply: StatusReply | ControlError, version: int) -> bool:
+    return isinstance(reply, ControlError) or reply.version < version
+
+
+def _describe_lag(node: str, reply: StatusReply | ControlError) -> str:
+    if isinstance(reply, ControlError):
+        return f"{node} ({reply})"
+    return f"{node} (has version {reply.version})"
+
+
 def _parse_pair(text: str) -> tuple[str, str]:
     key, separator, value = text.partition("=")
     check_name(key, "label key")
--- a/src/berylturn/connection/admission.py
+++ b/src/berylturn/connection/admission.py
@@ -220,6 +220,18 @@
         self._counters["gate.cold"] += 1
         self._gate.fall_cold(now)
 
+    def set_server_up(self, up: bool, now: float) -> None:
+        """Note whether the backend server can be reached at all.
+
+        Flows of a lost server end, so that their callers go elsewhere.
+        """
+        if up == (not self._gate.down):
+            return
+        self._gate.down = not up
+        if not up:
+            self._counters["gate.server_lost"] += 1
+            self.close_all(CloseReason.SERVER_LOST, now)
+
     def on_stream_data(
         self, flow_id: bytes, number: int, data: bytes, now: float
     ) -> None:
--- a/src/berylturn/connection/gate.py
+++ b/src/berylturn/connection/gate.py
@@ -79,6 +79,7 @@
         self._baseline_count = 0
         self._slow_streak = 0
         self.draining = False
+        self.down = False
         self.out = False
 
     @property
@@ -119,7 +120,7 @@
     @property
     def accepting(self) -> bool:
         """Tell whether new flows are welcome at all."""
-        return not (self.draining or self.out)
+        return not (self.draining or self.out or self.down)
 
     def set_limits(self, limits: Limits, now: float) -> None:
         """Put new limits in force; running requests are not touched."""
--- a/src/berylturn/connection/packets.py
+++ b/src/berylturn/connection/packets.py
@@ -37,6 +37,7 @@
     DRAINED = 3
     FLOW_LOST = 4
     EXPIRED = 5
+    SERVER_LOST = 6
 
 
 class Packet(msgspec.Struct, array_like=True, frozen=True, gc=False):
--- a/src/berylturn/process/agent.py
+++ b/src/berylturn/process/agent.py
@@ -317,7 +317,9 @@
             await asyncio.sleep(TICK_SECONDS)
 
     def _tick(self) -> None:
-        self._rules.tick(self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._rules.set_server_up(not self._backend.lost, now)
+        self._rules.tick(now)
         self._apply_effects()
         gate = self._rules.gate
         for name, amount in self._rules.take_counters().items():
--- a/src/berylturn/process/backend.py
+++ b/src/berylturn/process/backend.py
@@ -18,6 +18,7 @@
 PROBE_TIMEOUT_SECONDS = 0.4
 STREAM_SILENT_SECONDS = 2.0
 SENTINEL_RETRY_SECONDS = 0.2
+LOST_SECONDS = 1.0
 HEADER_FLOW = "Berylturn-Flow"
 HEADER_NUMBER = "Berylturn-Request"
 HEADER_SERVICE = "Berylturn-Service"
@@ -125,12 +126,20 @@
         self._on_restart = on_restart
         self._clock = clock
         self._connections: dict[bytes, _FlowConnection] = {}
+        self._down_since: float | None = None
 
     @property
     def open_connections(self) -> int:
         """Return how many flows hold a connection."""
         return len(self._connections)
 
+    @property
+    def lost(self) -> bool:
+        """Tell whether the server has accepted no connection for a while."""
+        if self._down_since is None:
+            return False
+        return self._clock.monotonic() - self._down_since > LOST_SECONDS
+
     async def run(self, call: Call) -> Reply:
         """Run one request on the connection of its flow."""
         connection = await self._prepare(call.flow_id)
@@ -195,19 +204,18 @@
         does not.
         """
         parts = urlsplit(self._url)
-        was_up = True
         while True:
             try:
                 reader, writer = await asyncio.open_connection(
                     parts.hostname, parts.port
                 )
             except OSError:
-                if was_up:
+                if self._down_since is None:
+                    self._down_since = self._clock.monotonic()
                     self._on_restart()
-                was_up = False
                 await asyncio.sleep(SENTINEL_RETRY_SECONDS)
                 continue
-            was_up = True
+            self._down_since = None
             try:
                 await reader.read()
             except OSError:
--- a/src/berylturn/process/balancer.py
+++ b/src/berylturn/process/balancer.py
@@ -48,7 +48,7 @@
 from .membership import Membership, Send
 from .metrics import Metrics
 from .neighbours import answer_announce
-from .platform import HttpPlatform, WatchResult
+from .platform import HttpPlatform, WatchResult, write_object
 from .settings import BalancerSettings, make_key_ring
 from .sockets import open_udp
 from .tasks import TaskGroup
@@ -58,6 +58,8 @@
 TICK_SECONDS = 0.1
 PULL_EVERY_SECONDS = 0.5
 PLATFORM_RETRY_SECONDS = 0.5
+REGISTER_CHECK_SECONDS = 2.0
+CLEAN_SECONDS = 15.0
 FORWARD_AFTER_WITHDRAW_SECONDS = 1.5
 JOIN_SECONDS = 0.5
 
@@ -129,6 +131,7 @@
         self._tasks.start(self._metrics.run(), "metrics")
         self._tasks.start(self._watch_platform(), "watch")
         self._tasks.start(self._register(), "register")
+        self._tasks.start(self._clean_directory(), "directory")
         self._tasks.start(self._join_peers(), "join")
         self._tasks.start(self._tick_forever(), "tick")
         self._tasks.start(self._announce_to_fabric(), "fabric")
@@ -303,15 +306,48 @@
                 "epoch": me.epoch,
             }
         ).encode()
+        await self._ready.wait()
         while True:
-            await self._ready.wait()
-            expected = self._live_version(name)
-            try:
-                self._directory_version = await self._platform.put(name, body, expected)
-                return
-            except PlatformError as error:
-                log_warning("registration_failed", error=str(error))
-                await asyncio.sleep(PLATFORM_RETRY_SECONDS)
+            listed = self._live_version(name) >= max(self._directory_version, 1)
+            if not listed and not self._withdrawn:
+                await self._put_registration(name, body)
+            await asyncio.sleep(REGISTER_CHECK_SECONDS)
+
+    async def _put_registration(self, name: str, body: bytes) -> None:
+        try:
+            self._directory_version = await write_object(self._platform, name, body)
+        except PlatformError as error:
+            log_warning("registration_failed", error=str(error))
+
+    async def _clean_directory(self) -> None:
+        """Delete the entries of dead balancers, at one of the live ones."""
+        while True:
+            await asyncio.sleep(CLEAN_SECONDS)
+            live = self._membership.live(Role.BALANCER)
+            if min(m.name for m in live) != self._membership.me.name:
+                continue
+            for name, version in self._dead_entries():
+                await self._delete_entry(name, version)
+
+    def _dead_entries(self) -> list[tuple[str, int]]:
+        members = self._membership.members
+        entries = [
+            (item.name, item.version)
+            for item in self._view.store
+            if item.name.startswith(BALANCER_PREFIX) and item.body is not None
+        ]
+        return [
+            (name, version)
+            for name, version in entries
+            if (member := members.get(name.removeprefix(BALANCER_PREFIX)))
+            and member.status == Status.DEAD
+        ]
+
+    async def _delete_entry(self, name: str, version: int) -> None:
+        try:
+            await self._platform.delete(name, version)
+        except PlatformError as error:
+            log_warning("directory_not_cleaned", error=str(error))
 
     def _live_version(self, name: str) -> int:
         known = self._view.store.get(name)
@@ -360,18 +396,12 @@
         self._withdrawn = True
         self._fabric.withdraw()
         if self._directory_version:
-            self._tasks.spawn(self._unregister())
+            name = BALANCER_PREFIX + self._settings.node.name
+            self._tasks.spawn(self._delete_entry(name, self._directory_version))
         await asyncio.sleep(FORWARD_AFTER_WITHDRAW_SECONDS)
         self._send_all(self._membership.leave(self._clock.monotonic()))
         self._follow_members()
 
-    async def _unregister(self) -> None:
-        name = BALANCER_PREFIX + self._settings.node.name
-        try:
-            await self._platform.delete(name, self._directory_version)
-        except PlatformError as error:
-            log_warning("unregistration_failed", error=str(error))
-
     async def _serve_pull(self, request: PullRequest) -> PullReply:
         store = self._view.store
         differing = _differing(request.object_buckets, store.bucket_digests())
--- a/src/berylturn_standins/deployment.py
+++ b/src/berylturn_standins/deployment.py
@@ -60,6 +60,7 @@
 
     name: str
     data_centre: str
+    proxied: bool = False
 
 
 @dataclass
@@ -151,6 +152,11 @@
             "peers": {"seeds": self._seeds()},
             "logs": {"file": str(self.folder / f"{plan.name}.log")},
         }
+        if plan.proxied:
+            name = f"{plan.name}-proxy"
+            await self.start_proxy(name, ports["peers"])
+            front = self.processes[name].ports["listen"]
+            sections["listen"]["advertise"] = f"{HOST}:{front}"
         await self._start_daemon("balancer", plan.name, sections, ports)
 
     async def start_server(self, plan: ServerPlan) -> None:
@@ -297,6 +303,16 @@
         result = await self.tool("selector", "apply", str(path), "--wait")
         check_tool_results([result])
 
+    async def wait_registered(self, count: int) -> None:
+        """Wait until the directory lists that many balancers."""
+
+        async def listed() -> bool:
+            url = f"{self.platform_url}/objects?prefix=balancer/"
+            async with self.http.get(url) as response:
+                return len((await response.json())["objects"]) == count
+
+        await self.wait_until(listed, f"{count} balancers in the directory")
+
     async def wait_servers(self, service: str, count: int) -> None:
         """Wait until every balancer places flows of a service on `count` servers."""
         controls = [
--- a/src/berylturn_standins/platform.py
+++ b/src/berylturn_standins/platform.py
@@ -86,7 +86,10 @@
         self._recent.append(time.monotonic())
         if self.switches.outage:
             raise web.HTTPServiceUnavailable()
-        response = await handler(request)
+        try:
+            response = await handler(request)
+        except web.HTTPException as error:
+            response = error
         if self.switches.delay:
             await asyncio.sleep(self.switches.delay)
         if self.switches.outage:
@@ -94,6 +97,8 @@
         if request.method in ("PUT", "DELETE") and self.switches.lose_answers:
             self.switches.lose_answers -= 1
             request.transport.abort()
+        if isinstance(response, web.HTTPException):
+            raise response
         return response
 
     async def _list(self, request: web.Request) -> web.Response:
--- a/src/berylturn_standins/proxy.py
+++ b/src/berylturn_standins/proxy.py
@@ -23,6 +23,7 @@
     """State of the proxy; silenced connections stay so, new ones work."""
 
     cut: bool = False
+    blocked: set[int] = field(default_factory=set)
     connections: set[int] = field(default_factory=set)
     silent: set[int] = field(default_factory=set)
 
@@ -49,11 +50,14 @@
         app.router.add_post("/_faults", self._set_faults)
         app.router.add_post("/_silence", self._silence)
         app.router.add_post("/_cut", self._cut)
+        app.router.add_post("/_block", self._block)
         app.router.add_get("/_stats", self._stats)
         return app
 
     def _on_datagram(self, data: bytes, source: Address) -> None:
         self.packets += 1
+        if source[1] in self._switches.blocked:
+            return
         asyncio.ensure_future(self._relay_datagram(data, source))
 
     async def _relay_datagram(self, data: bytes, source: Address) -> None:
@@ -122,6 +126,11 @@
         self._switches.cut = bool((await request.json())["cut"])
         return web.json_response({})
 
+    async def _block(self, request: web.Request) -> web.Response:
+        """Drop what comes from some source ports, such as another data centre's."""
+        self._switches.blocked = set((await request.json())["ports"])
+        return web.json_response({})
+
     async def _stats(self, _request: web.Request) -> web.Response:
         return web.json_response(
             {
--- a/src/berylturn_standins/scenarios.py
+++ b/src/berylturn_standins/scenarios.py
@@ -135,6 +135,59 @@
     await asyncio.sleep(4 * SETTLE_SECONDS)
 
 
+async def restart_data_centre(deployment: Deployment) -> None:
+    """Let all backend servers of one data centre start cold at once."""
+    centre = deployment.plan.servers[0].data_centre
+    names = [s.name for s in deployment.plan.servers if s.data_centre == centre]
+    await asyncio.gather(*(deployment.post(name, "/_restart") for name in names))
+    await asyncio.sleep(4 * SETTLE_SECONDS)
+
+
+async def kill_backend(deployment: Deployment) -> None:
+    """End one backend server for good; its agent lives on."""
+    await deployment.kill(deployment.plan.servers[0].name)
+    await asyncio.sleep(4 * SETTLE_SECONDS)
+
+
+async def drain_while_balancers_change(deployment: Deployment) -> None:
+    """Drain one backend server while a balancer dies and another joins."""
+    dying = deployment.plan.balancers[0]
+    await asyncio.gather(
+        drain_server(deployment),
+        deployment.kill(dying.name),
+        deployment.start_balancer(BalancerPlan("entry-late", dying.data_centre)),
+    )
+
+
+async def cut_data_centres(deployment: Deployment) -> None:
+    """Cut the first two data centres off from each other for a while."""
+    first, second = sorted({s.data_centre for s in deployment.plan.servers})[:2]
+    await block_between(deployment, first, second, cut=True)
+    await asyncio.sleep(7 * SETTLE_SECONDS)
+    await block_between(deployment, first, second, cut=False)
+    await asyncio.sleep(SETTLE_SECONDS)
+
+
+async def block_between(
+    deployment: Deployment, first: str, second: str, cut: bool
+) -> None:
+    """Block or open the proxies between the daemons of two data centres."""
+    for here, there in ((first, second), (second, first)):
+        ports = [p for _, p in peer_ports(deployment, there)] if cut else []
+        for proxy, _ in peer_ports(deployment, here):
+            await deployment.post(proxy, "/_block", {"ports": ports})
+
+
+def peer_ports(deployment: Deployment, centre: str) -> list[tuple[str, int]]:
+    """Return the proxy and the own port of each daemon of a data centre."""
+    daemons = [b.name for b in deployment.plan.balancers if b.data_centre == centre]
+    servers = [s.name for s in deployment.plan.servers if s.data_centre == centre]
+    daemons += [f"{name}-agent" for name in servers]
+    return [
+        (f"{name}-proxy", deployment.processes[name].ports["peers"]) for name in daemons
+    ]
+
+
 async def set_label(deployment: Deployment, target: str, label: str) -> None:
     """Set one label and wait until it is in force at every balancer."""
     status, output = await deployment.tool("label", "set", target, label, "--wait")
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,87 @@
+"""Operators' tool against a platform that races, loses answers and fails."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+from berylturn_standins.deployment import BalancerPlan, Deployment, Plan
+
+TARGET = "data-centre/patan-hall"
+
+
+class Operators(unittest.IsolatedAsyncioTestCase):
+    """What the tool reports is true."""
+
+    async def asyncSetUp(self):
+        asyncio.get_running_loop().set_debug(False)
+        plan = Plan(["booking"], [], [BalancerPlan("entry-0", "patan-hall")])
+        self.deployment = Deployment(plan)
+        await self.enterAsyncContext(self.deployment)
+        await self.deployment.wait_registered(1)
+
+    async def set_label(self, label, *options):
+        return await self.deployment.tool("label", "set", TARGET, label, *options)
+
+    async def labels(self):
+        _, output = await self.deployment.tool("label", "list", TARGET, "--json")
+        return json.loads(output)[TARGET]["labels"]
+
+    async def switch(self, **switches):
+        await self.deployment.post("platform", "/_switches", switches)
+
+    async def test_one_of_two_racing_operators_wins(self):
+        await self.switch(delay=1.0)
+        results = await asyncio.gather(self.set_label("a=1"), self.set_label("a=2"))
+        await self.switch(delay=0.0)
+        statuses = [status for status, _ in results]
+        self.assertEqual(sorted(statuses), [0, 2], results)
+        winner = "12"[statuses.index(0)]
+        self.assertEqual(await self.labels(), {"a": winner})
+        loser = results[statuses.index(2)][1]
+        self.assertIn("read it and try again", loser)
+
+    async def test_lost_answer_is_settled(self):
+        await self.switch(lose_answers=1)
+        status, output = await self.set_label("a=1", "--wait")
+        self.assertEqual((status, await self.labels()), (0, {"a": "1"}), output)
+
+    async def test_platform_down(self):
+        await self.switch(outage=True)
+        status, output = await self.set_label("a=1")
+        await self.switch(outage=False)
+        self.assertEqual(status, 1)
+        self.assertIn("try again", output)
+
+    async def test_tool_killed_between_write_and_answer(self):
+        await self.switch(delay=1.0)
+        call = asyncio.create_task(self.set_label("a=1"))
+        await asyncio.sleep(0.1)
+        call.cancel()
+        await self.switch(delay=0.0)
+        status, output = await self.set_label("b=2", "--wait")
+        self.assertEqual(status, 0, output)
+        self.assertEqual((await self.labels())["b"], "2")
+
+    async def test_wait_names_balancers_that_are_behind(self):
+        await self.deployment.kill("entry-0")
+        status, output = await self.set_label("a=1", "--wait")
+        self.assertEqual(status, 3, output)
+        self.assertIn("not in force at entry-0", output)
+
+    async def test_one_address_for_two_services(self):
+        await self.deployment.apply_selector("booking")
+        path = self.deployment.folder / "other.ini"
+        text = (self.deployment.folder / "booking.ini").read_text()
+        path.write_text(text.replace("service = booking", "service = media"))
+        status, output = await self.deployment.tool("selector", "apply", str(path))
+        self.assertEqual(status, 1)
+        self.assertIn("belongs to service booking", output)
+
+    async def test_selector_that_matches_nothing_is_accepted_with_a_warning(self):
+        await self.deployment.apply_selector("booking")
+        path = str(self.deployment.folder / "booking.ini")
+        status, output = await self.deployment.tool("selector", "apply", path)
+        self.assertEqual(status, 0)
+        self.assertIn("warning: the selector matches no backend server", output)
