--- a/src/berylturn/process/membership.py
+++ b/src/berylturn/process/membership.py
@@ -81,6 +81,7 @@
         self._changes: list[MemberState] = []
         self._suspects: set[str] = set()
         self._tombstones: set[str] = set()
+        self._alive_balancers: dict[str, list[MemberState]] | None = None
         self._sums = [0] * BUCKETS
         self._toggle(me)
         self.config_digest = b""
@@ -103,6 +104,21 @@
             if m.role == role and m.status not in (Status.DEAD, Status.LEFT)
         ]
 
+    def alive_balancers(self) -> dict[str, list[MemberState]]:
+        """Return the balancers that are well, by data centre, in order of name."""
+        if self._alive_balancers is None:
+            found: dict[str, list[MemberState]] = {}
+            for member in sorted(self.live(Role.BALANCER), key=lambda m: m.name):
+                if member.status == Status.ALIVE:
+                    found.setdefault(member.data_centre, []).append(member)
+            self._alive_balancers = found
+        return self._alive_balancers
+
+    @property
+    def has_updates(self) -> bool:
+        """Tell whether changes wait to be passed on."""
+        return bool(self._transmits)
+
     def take_changes(self) -> list[MemberState]:
         """Return and forget the members that changed since the last call."""
         changes, self._changes = self._changes, []
@@ -201,6 +217,8 @@
             self._toggle(known)
         self._toggle(state)
         self._members[state.name] = state
+        if state.role == Role.BALANCER:
+            self._alive_balancers = None
         self._file(state)
         self._changed_at[state.name] = now
         count = RETRANSMIT_FACTOR * math.ceil(math.log10(len(self._members) + 1) + 1)
@@ -311,7 +329,11 @@
         return [Send(target.address, self._ping())]
 
     def _live_balancers(self) -> list[MemberState]:
-        return [m for m in self.live(Role.BALANCER) if m.name != self._me.name]
+        groups = self.alive_balancers().values()
+        suspects = map(self._members.__getitem__, sorted(self._suspects))
+        found = [m for group in groups for m in group]
+        found += [m for m in suspects if m.role == Role.BALANCER]
+        return [m for m in found if m.name != self._me.name]
 
     def _ping(self, sequence: int | None = None, target: str = "") -> GossipPing:
         return GossipPing(
--- a/src/berylturn/process/neighbours.py
+++ b/src/berylturn/process/neighbours.py
@@ -11,8 +11,6 @@
     AnnounceAck,
     ConfigObject,
     MemberState,
-    Role,
-    Status,
 )
 from ..version.view import View
 from .membership import Membership
@@ -47,11 +45,16 @@
 
 def choose_balancers(membership: Membership, agent: MemberState) -> list[MemberState]:
     """Return some live balancers, those of the agent's data centre first."""
-    live = [m for m in membership.live(Role.BALANCER) if m.status == Status.ALIVE]
-    ranked = sorted(
-        live, key=lambda m: (m.data_centre != agent.data_centre, _mix(m, agent))
-    )
-    return ranked[:MAX_BALANCERS]
+    groups = membership.alive_balancers()
+    near = groups.get(agent.data_centre, [])
+    chosen = _take_ring(near, agent.name, MAX_BALANCERS)
+    for centre in sorted(groups):
+        if len(chosen) >= MAX_BALANCERS:
+            break
+        if centre != agent.data_centre:
+            wanted = MAX_BALANCERS - len(chosen)
+            chosen += _take_ring(groups[centre], agent.name, wanted)
+    return chosen
 
 
 def choose_siblings(view: View, server: str) -> list[MemberState]:
@@ -79,6 +82,10 @@
     return hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
 
 
-def _mix(balancer: MemberState, agent: MemberState) -> bytes:
-    data = f"{balancer.name}\0{agent.name}".encode()
-    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
+def _take_ring(members: list[MemberState], agent: str, count: int) -> list[MemberState]:
+    """Return up to `count` members, from a place that depends on the agent."""
+    if not members:
+        return []
+    digest = hashlib.blake2b(agent.encode(), digest_size=DIGEST_BYTES).digest()
+    start = int.from_bytes(digest) % len(members)
+    return (members[start:] + members[:start])[:count]
--- a/src/berylturn/version/view.py
+++ b/src/berylturn/version/view.py
@@ -70,6 +70,7 @@
     _agents: dict[str, MemberState] = field(default_factory=dict)
     _problems: dict[str, ConfigChange] = field(default_factory=dict)
     _unreachable: set[str] = field(default_factory=set)
+    _served: dict[str, set[str]] = field(default_factory=dict)
 
     @property
     def services(self) -> dict[str, Service]:
@@ -97,9 +98,8 @@
             self._agents.pop(member.name, None)
         else:
             self._agents[member.name] = member
-        if known is None:
-            self._match_server(member.name)
-        self._invalidate(member.name)
+        if known != member:
+            self._invalidate(member.name)
 
     def set_unreachable(self, names: set[str]) -> None:
         """Name the agents that this node cannot reach itself."""
@@ -122,7 +122,7 @@
 
     def services_of(self, server: str) -> list[str]:
         """Return the names of the services that a backend server serves."""
-        return sorted(n for n, s in self._services.items() if server in s.servers)
+        return sorted(self._served.get(server, ()))
 
     def table(self, service: str) -> PlacementTable | None:
         """Return the placement table, or None for an unknown service."""
@@ -206,7 +206,7 @@
 
     def _apply_selector(self, name: str, item: ConfigObject) -> None:
         if item.body is None:
-            self._services.pop(name, None)
+            self._drop_service(name)
             return
         selector = parse_selector(item.body)
         if selector.service != name:
@@ -219,27 +219,37 @@
                     f"address {selector.address} belongs to service "
                     f"{other.selector.service}; choose another"
                 )
+        self._drop_service(name)
         entry = Service(selector, item.version)
         entry.servers = {n for n, lab in self._labels.items() if selector.matches(lab)}
         self._services[name] = entry
+        for server in entry.servers:
+            self._served.setdefault(server, set()).add(name)
+
+    def _drop_service(self, name: str) -> None:
+        entry = self._services.pop(name, None)
+        for server in entry.servers if entry else ():
+            self._served[server].discard(name)
 
     def _match_server(self, server: str) -> None:
         labels = self._labels.get(server)
-        for entry in self._services.values():
-            was_in = server in entry.servers
+        served = self._served.setdefault(server, set())
+        for name, entry in self._services.items():
+            was_in = name in served
             is_in = labels is not None and entry.selector.matches(labels)
             if was_in == is_in:
                 continue
             entry.table = None
             if is_in:
+                served.add(name)
                 entry.servers.add(server)
             else:
+                served.discard(name)
                 entry.servers.discard(server)
 
     def _invalidate(self, server: str) -> None:
-        for entry in self._services.values():
-            if server in entry.servers:
-                entry.table = None
+        for name in self._served.get(server, ()):
+            self._services[name].table = None
 
     def _build_table(self, entry: Service) -> PlacementTable:
         eligible = [self._agents[n] for n in entry.servers if n in self._agents]
