--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -269,7 +269,7 @@
         for _ in range(count):
             packet = Open(os.urandom(16), "service-0")
             deliver(rules, encode_packet(packet))
-            for effect in rules.take_effects():
+            for effect in rules.outbox.take_effects():
                 confirm(rules, effect)
         assert len(rules.flows) == count
         return rules
@@ -293,7 +293,7 @@
     packet = decode_to_caller(effect.packet)
     if isinstance(packet, Accepted):
         deliver(rules, encode_packet(Ping(packet.token, 0, 1)))
-        rules.take_effects()
+        rules.outbox.take_effects()
 
 
 def view_bytes() -> Slope:
--- a/src/berylturn/connection/gate.py
+++ b/src/berylturn/connection/gate.py
@@ -92,6 +92,11 @@
         """Return how many requests may run at once now."""
         return int(self._limit)
 
+    @property
+    def capacity(self) -> float:
+        """Return what the server bears now, relative to other servers."""
+        return self.limit * self._limits.speed
+
     @property
     def warm(self) -> bool:
         """Tell whether the limit has risen to all slots."""
--- /dev/null
+++ b/src/berylturn/connection/outbox.py
@@ -0,0 +1,98 @@
+"""Collect what an agent does, and choose the balancer of each answer."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from .effects import Effect, SendToCaller
+from .flow import Flow
+from .packets import Packet, encode_packet
+
+Address = tuple[str, int]
+
+SILENT_SECONDS = 1.5
+REFRESH_SECONDS = 0.25
+FORGET_SECONDS = 60.0
+
+
+class Outbox:
+    """Hold effects and counters until the owner of the sockets takes them."""
+
+    def __init__(self) -> None:
+        self._effects: list[Effect] = []
+        self._counters: Counter[str] = Counter()
+        self._heard: dict[Address, float] = {}
+        self._live: list[Address] = []
+        self._live_until = 0.0
+        self._turn = 0
+
+    def take_effects(self) -> list[Effect]:
+        """Return and forget the effects since the last call."""
+        effects, self._effects = self._effects, []
+        return effects
+
+    def take_counters(self) -> Counter[str]:
+        """Return and forget the counters since the last call."""
+        counters, self._counters = self._counters, Counter()
+        return counters
+
+    def add(self, effect: Effect) -> None:
+        """Ask for one effect."""
+        self._effects.append(effect)
+
+    def count(self, name: str) -> None:
+        """Add one to a counter."""
+        self._counters[name] += 1
+
+    def on_heard(self, balancer: Address, now: float) -> None:
+        """Note that a balancer delivered a packet."""
+        self._heard[balancer] = now
+
+    def forget_silent(self, now: float) -> None:
+        """Drop the balancers that have not been heard for long."""
+        heard = self._heard
+        for address in [a for a, t in heard.items() if now - t > FORGET_SECONDS]:
+            del heard[address]
+
+    def reply(self, caller: Address, balancer: Address, packet: Packet) -> None:
+        """Send a packet to a caller through a given balancer."""
+        self._effects.append(SendToCaller(caller, balancer, encode_packet(packet)))
+
+    def send(self, flow: Flow, packet: Packet, now: float) -> None:
+        """Send through the flow's balancer, or a live one when that is silent."""
+        self.reply(flow.caller, self._choose(flow.balancer, now), packet)
+
+    def send_around(
+        self, flow: Flow, packet: Packet, now: float, turn: int | None = None
+    ) -> None:
+        """Send through the live balancers in turn.
+
+        What goes through one that has just died is missed at the next item, not
+        only when the caller's next packet names another balancer.
+
+        Parameters
+        ----------
+        turn : int or None
+            Count within one stream. A common count would send every item of a
+            stream through the same balancer when as many streams as balancers
+            are open. None takes the common count, for packets that repeat.
+        """
+        if turn is None:
+            self._turn += 1
+            turn = self._turn
+        live = self._live_balancers(now)
+        balancer = live[turn % len(live)] if live else flow.balancer
+        self.reply(flow.caller, balancer, packet)
+
+    def _live_balancers(self, now: float) -> list[Address]:
+        if now >= self._live_until:
+            self._live_until = now + REFRESH_SECONDS
+            self._live = [a for a, t in self._heard.items() if now - t < SILENT_SECONDS]
+        return self._live
+
+    def _choose(self, preferred: Address, now: float) -> Address:
+        heard = self._heard
+        if now - heard.get(preferred, now) <= SILENT_SECONDS:
+            return preferred
+        latest = max(heard, key=heard.__getitem__)
+        return latest if now - heard[latest] <= SILENT_SECONDS else preferred
--- a/src/berylturn/connection/siblings.py
+++ b/src/berylturn/connection/siblings.py
@@ -37,7 +37,7 @@
     Examples
     --------
     >>> siblings = Siblings()
-    >>> siblings.choose("booking", flows=9, weight=3.0, full=False, visited=[], now=0.0)
+    >>> siblings.choose("booking", 9, 3.0, False, [], None, now=0.0)
     """
 
     def __init__(self, seed: str = "") -> None:
@@ -90,6 +90,7 @@
         weight: float,
         full: bool,
         visited: list[str],
+        data_centres: set[str] | None,
         now: float,
     ) -> MemberState | None:
         """Return the sibling that should take a new flow instead, if any.
@@ -104,10 +105,12 @@
             Whether this agent would refuse the flow.
         visited : list of str
             Agents that have already had the flow.
+        data_centres : set of str or None
+            Where the flow may go; None means anywhere.
         now : float
             Seconds on the monotonic clock.
         """
-        fresh = self._fresh(service, now)
+        fresh = self._fresh(service, data_centres, now)
         mine = min(flows, self._reported_flows)
         total = mine + sum(k.digest.flows for k in fresh.values())
         capacity = weight + sum(k.digest.weight for k in fresh.values())
@@ -137,11 +140,15 @@
         self._passed += 1
         return self._members[chosen]
 
-    def _fresh(self, service: str, now: float) -> dict[str, _Known]:
+    def _fresh(
+        self, service: str, data_centres: set[str] | None, now: float
+    ) -> dict[str, _Known]:
+        members = self._members
         return {
             name: known
             for name, known in self._known.items()
-            if name in self._members
+            if name in members
+            and (data_centres is None or members[name].data_centre in data_centres)
             and now - known.heard_at <= FRESH_SECONDS
             and known.digest.accepting
             and known.digest.weight > 0
--- /dev/null
+++ b/src/berylturn/connection/streams.py
@@ -0,0 +1,147 @@
+"""Streams of an agent's flows: items, heartbeats, repeats, resumption."""
+
+from __future__ import annotations
+
+from ..request.ledger import Answered
+from .effects import CancelRequest, StartRequest
+from .flow import Flow, Stream
+from .outbox import Outbox
+from .packets import PART_BYTES, StreamItem, StreamState
+
+HEARTBEAT_SECONDS = 0.3
+LINGER_SECONDS = 5.0
+ENDED = Answered(200, [b""])
+
+
+class StreamRules:
+    """Decide what happens to the streams of one agent.
+
+    Parameters
+    ----------
+    flows : dict of bytes to Flow
+        Open flows, shared with the agent's other rules.
+    incarnation : int
+        Incarnation of the flows.
+    outbox : Outbox
+        Takes the effects.
+    """
+
+    def __init__(
+        self, flows: dict[bytes, Flow], incarnation: int, outbox: Outbox
+    ) -> None:
+        self._flows = flows
+        self._incarnation = incarnation
+        self._outbox = outbox
+        self._streaming: set[bytes] = set()
+        self._parked = False
+
+    def park(self) -> None:
+        """Take in nothing more, so that a successor can resume each stream."""
+        self._parked = True
+
+    def start(self, flow: Flow, request: StartRequest) -> None:
+        """Open a stream on the backend server."""
+        if flow.streams is None:
+            flow.streams = {}
+        flow.streams[request.number] = Stream(request.body)
+        self._streaming.add(flow.flow_id)
+        self._outbox.add(request)
+
+    def resume(self, flow: Flow, now: float, era: int) -> None:
+        """Open the streams of a predecessor's flow where they stopped."""
+        for number, stream in (flow.streams or {}).items():
+            self._streaming.add(flow.flow_id)
+            flow.ledger.offer(number)
+            request = StartRequest(
+                flow.flow_id,
+                number,
+                flow.service,
+                stream.body,
+                repeatable=True,
+                stream=True,
+                deadline=now,
+                era=era,
+                resume_at=stream.lines,
+            )
+            self._outbox.add(request)
+
+    def on_data(self, flow_id: bytes, number: int, data: bytes, now: float) -> None:
+        """Send data to the caller, in items of one packet each."""
+        flow, stream = self._find(flow_id, number)
+        if stream is None or self._parked:
+            return
+        for start in range(0, len(data), PART_BYTES):
+            body = data[start : start + PART_BYTES]
+            sequence = stream.add(body)
+            self._send_item(flow, number, sequence, body, now, turn=sequence)
+        stream.last_sent = now
+
+    def on_end(self, flow_id: bytes, number: int, now: float) -> None:
+        """Tell the caller that a stream has ended."""
+        flow, stream = self._find(flow_id, number)
+        if stream is None or self._parked:
+            return
+        stream.ended = True
+        stream.ended_at = now
+        flow.ledger.finish(number, ENDED)
+        self.send_state(flow, number, now)
+
+    def resend(self, flow: Flow, number: int, sequences: list[int], now: float) -> None:
+        """Send items again, as far as they are kept."""
+        for sequence in sequences:
+            body = flow.streams[number].item(sequence)
+            if body is not None:
+                self._send_item(flow, number, sequence, body, now)
+
+    def cancel(self, flow: Flow, number: int) -> None:
+        """End a stream that its caller has left."""
+        del flow.streams[number]
+        flow.ledger.finish(number, ENDED)
+        self._outbox.add(CancelRequest(flow.flow_id, number))
+
+    def send_state(self, flow: Flow, number: int, now: float) -> None:
+        """Send a heartbeat, which shows the caller what it misses."""
+        stream = flow.streams[number]
+        stream.last_sent = now
+        state = StreamState(
+            flow.flow_id,
+            self._incarnation,
+            number,
+            stream.next_sequence,
+            stream.ended,
+        )
+        self._outbox.send_around(flow, state, now)
+
+    def tick(self, now: float) -> None:
+        """Send the heartbeats that are due."""
+        for flow_id in list(self._streaming):
+            flow = self._flows.get(flow_id)
+            if flow is None or not flow.streams:
+                self._streaming.discard(flow_id)
+                continue
+            self._beat(flow, now)
+
+    def _beat(self, flow: Flow, now: float) -> None:
+        for number, stream in list(flow.streams.items()):
+            if stream.ended and now - stream.ended_at > LINGER_SECONDS:
+                del flow.streams[number]
+            elif now - stream.last_sent > HEARTBEAT_SECONDS:
+                self.send_state(flow, number, now)
+
+    def _find(self, flow_id: bytes, number: int) -> tuple[Flow | None, Stream | None]:
+        flow = self._flows.get(flow_id)
+        if flow is None or not flow.streams:
+            return None, None
+        return flow, flow.streams.get(number)
+
+    def _send_item(
+        self,
+        flow: Flow,
+        number: int,
+        sequence: int,
+        body: bytes,
+        now: float,
+        turn: int | None = None,
+    ) -> None:
+        item = StreamItem(flow.flow_id, self._incarnation, number, sequence, body)
+        self._outbox.send_around(flow, item, now, turn)
--- a/src/berylturn/process/agent.py
+++ b/src/berylturn/process/agent.py
@@ -213,7 +213,7 @@
         self._tick()
 
     def _apply_effects(self) -> None:
-        for effect in self._rules.take_effects():
+        for effect in self._rules.outbox.take_effects():
             self._apply_effect(effect)
 
     def _apply_effect(self, effect: Effect) -> None:
@@ -261,7 +261,7 @@
             key = (request.flow_id, request.number)
             self._running.pop(key, None)
             self._metrics.time("request", now - started)
-            self._rules.on_finished(*key, outcome, now - started, now)
+            self._rules.requests.on_finished(*key, outcome, now - started, now)
             self._apply_effects()
 
     async def _ask_backend(self, request: StartRequest) -> Outcome:
@@ -289,11 +289,11 @@
         key = (request.flow_id, request.number)
         try:
             async for data in self._backend.stream(_call(request, 0.0)):
-                self._rules.on_stream_data(*key, data, self._clock.monotonic())
+                self._rules.streams.on_data(*key, data, self._clock.monotonic())
                 self._apply_effects()
         finally:
             self._running.pop(key, None)
-            self._rules.on_stream_end(*key, self._clock.monotonic())
+            self._rules.streams.on_end(*key, self._clock.monotonic())
             self._apply_effects()
 
     async def _cancel_request(self, effect: CancelRequest) -> None:
@@ -322,11 +322,11 @@
         self._rules.tick(now)
         self._apply_effects()
         gate = self._rules.gate
-        for name, amount in self._rules.take_counters().items():
+        for name, amount in self._rules.outbox.take_counters().items():
             self._metrics.count(name, amount)
         self._metrics.gauge("flows", gate.flows)
         self._metrics.gauge("running", gate.running)
-        self._metrics.gauge("queued", self._rules.queued)
+        self._metrics.gauge("queued", self._rules.requests.queued)
         self._metrics.gauge("limit", gate.limit)
         serving = gate.accepting and not self._rules.stopping
         self._set_status(Status.ALIVE if serving else Status.DRAINING)
@@ -414,7 +414,7 @@
         if not self._rules.flows:
             return False
         self._rules.park()
-        while self._rules.unfinished and self._clock.monotonic() < deadline:
+        while self._rules.requests.unfinished and self._clock.monotonic() < deadline:
             await asyncio.sleep(TICK_SECONDS)
         data = take_snapshot(self._rules, self._clock.monotonic())
         written = await write_snapshot(
@@ -440,7 +440,7 @@
         self._rules.begin_closing(self._clock.monotonic())
         self._apply_effects()
         await asyncio.sleep(CLOSING_SECONDS)
-        while self._rules.unfinished:
+        while self._rules.requests.unfinished:
             await asyncio.sleep(TICK_SECONDS)
 
 
--- a/src/berylturn/process/balancer.py
+++ b/src/berylturn/process/balancer.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 
 import grpc.aio
+import msgspec
 
 from ..connection.channel import ChannelAction, ChannelMonitor
 from ..connection.frames import (
@@ -47,7 +48,7 @@
 from .logs import LogWriter, log_event, log_warning
 from .membership import Membership, Send
 from .metrics import Metrics
-from .neighbours import answer_announce
+from .neighbours import answer_announce, describe_neighbours
 from .platform import HttpPlatform, WatchResult, write_object
 from .settings import BalancerSettings, make_key_ring
 from .sockets import open_udp
@@ -56,6 +57,7 @@
 Address = tuple[str, int]
 
 TICK_SECONDS = 0.1
+FORGET_AGENT_SECONDS = 30.0
 PULL_EVERY_SECONDS = 0.5
 PLATFORM_RETRY_SECONDS = 0.5
 REGISTER_CHECK_SECONDS = 2.0
@@ -93,6 +95,8 @@
         self._tasks = TaskGroup()
         self._fabric: Fabric = NoFabric()
         self._ready = asyncio.Event()
+        self._announced: dict[str, tuple[Announce, Address, float]] = {}
+        self._news = False
         self._withdrawn = False
         self._pulled_at = -PULL_EVERY_SECONDS
         self._directory_version = 0
@@ -192,6 +196,8 @@
         if isinstance(frame, Announce):
             ack = answer_announce(frame, self._membership, self._view, now)
             self._peers.sendto(seal_frame(ack, self._keys), source)
+            told = msgspec.structs.replace(frame, known=ack.digest)
+            self._announced[frame.member.name] = (told, source, now)
             self._follow_members()
         elif isinstance(frame, GossipPing):
             self._send_all(self._membership.on_ping(frame, source, now))
@@ -221,6 +227,7 @@
 
     def _follow_members(self) -> None:
         for member in self._membership.take_changes():
+            self._news = True
             if member.role == Role.AGENT:
                 self._view.set_agent(member)
             log_event(
@@ -238,8 +245,24 @@
             now = self._clock.monotonic()
             self._send_all(self._membership.tick(now))
             self._follow_members()
+            if self._news:
+                self._news = False
+                self._push_news(now)
             await self._tick_channels(now)
 
+    def _push_news(self, now: float) -> None:
+        """Tell the agents that announce here what has changed for them."""
+        for name, (announce, source, heard) in list(self._announced.items()):
+            if now - heard > FORGET_AGENT_SECONDS:
+                del self._announced[name]
+                continue
+            ack = describe_neighbours(announce, self._membership, self._view)
+            if ack.digest == announce.known:
+                continue
+            self._peers.sendto(seal_frame(ack, self._keys), source)
+            told = msgspec.structs.replace(announce, known=ack.digest)
+            self._announced[name] = (told, source, heard)
+
     async def _tick_channels(self, now: float) -> None:
         for address, action in self._channels.tick(now):
             if action is ChannelAction.REBIND:
@@ -276,6 +299,7 @@
 
     def _take_objects(self, result: WatchResult | PullReply) -> None:
         for change in self._view.apply(result.objects):
+            self._news = True
             self._metrics.count("config.changes")
             log_event(
                 "config",
--- a/src/berylturn/process/homes.py
+++ b/src/berylturn/process/homes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..connection.frames import MemberState
 
@@ -16,7 +16,8 @@
 class _Home:
     address: Address
     next_due: float
-    waiting: int = 0
+    waiting: set[int] = field(default_factory=set)
+    acknowledged: int = 0
     misses: int = 0
     known: bytes = b""
 
@@ -70,16 +71,20 @@
             if home.waiting:
                 home.misses += 1
             self._sequence += 1
-            home.waiting = self._sequence
+            home.waiting.add(self._sequence)
             home.next_due = now + (self._period if not home.misses else 0.3)
             messages.append((home.address, self._sequence, home.known))
         return messages
 
     def on_ack(self, sequence: int, digest: bytes) -> bool:
-        """Note an acknowledgement; return False when it is not expected."""
+        """Note an acknowledgement; return False when it is not expected.
+
+        A balancer repeats its last one when there is news for the agent.
+        """
         for home in self._homes:
-            if home.waiting and sequence <= home.waiting:
-                home.waiting = 0
+            if sequence in home.waiting or sequence == home.acknowledged:
+                home.waiting.clear()
+                home.acknowledged = sequence
                 home.misses = 0
                 home.known = digest
                 self._failures = 0
--- a/src/berylturn/process/neighbours.py
+++ b/src/berylturn/process/neighbours.py
@@ -24,8 +24,16 @@
     announce: Announce, membership: Membership, view: View, now: float
 ) -> AnnounceAck:
     """Note an agent's announcement and return what it should know."""
+    membership.on_announce(announce.member, announce.period_ms / 1000, now)
+    return describe_neighbours(announce, membership, view)
+
+
+def describe_neighbours(
+    announce: Announce, membership: Membership, view: View
+) -> AnnounceAck:
+    """Return what an agent should know, short when it knows that already."""
     agent = announce.member
-    known = membership.on_announce(agent, announce.period_ms / 1000, now)
+    known = membership.members.get(agent.name, agent)
     balancers = choose_balancers(membership, agent)
     siblings = choose_siblings(view, agent.name)
     objects = view.objects_for_agent(agent.name, agent.data_centre, announce.selectors)
--- /dev/null
+++ b/src/berylturn/request/execution.py
@@ -0,0 +1,267 @@
+"""Requests of one agent: what runs, what waits, what is kept and repeated."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from ..connection.effects import CancelRequest, StartRequest
+from ..connection.flow import Flow
+from ..connection.gate import AdmissionGate
+from ..connection.outbox import Outbox
+from ..connection.packets import (
+    AnswerPart,
+    RefusalReason,
+    RequestNotRun,
+    RequestUnknown,
+    Running,
+)
+from ..connection.parts import WINDOW_PARTS
+from .ledger import Answered, DidNotRun, MayHaveRun, Outcome, Verdict
+from .queue import RequestQueue, Waiting
+
+Key = tuple[bytes, int]
+
+MAX_KEPT_ANSWER_BYTES = 16_000_000
+MIN_RETRY_MS = 50
+
+
+@dataclass(slots=True)
+class _Work:
+    request: StartRequest
+    waiting: Waiting | None
+
+
+class RequestRules:
+    """Decide what happens to the requests (not the streams) of one agent.
+
+    Parameters
+    ----------
+    flows : dict of bytes to Flow
+        Open flows, shared with the agent's other rules.
+    incarnation : int
+        Incarnation of the flows.
+    gate : AdmissionGate
+        Limits of the backend server.
+    queue : RequestQueue
+        Requests that wait.
+    outbox : Outbox
+        Takes the effects.
+    """
+
+    def __init__(
+        self,
+        flows: dict[bytes, Flow],
+        incarnation: int,
+        gate: AdmissionGate,
+        queue: RequestQueue,
+        outbox: Outbox,
+    ) -> None:
+        self._flows = flows
+        self._incarnation = incarnation
+        self._gate = gate
+        self._queue = queue
+        self._outbox = outbox
+        self._work: dict[Key, _Work] = {}
+        self._kept_bytes = 0
+        self._parked = False
+
+    @property
+    def queued(self) -> int:
+        """Return how many requests wait."""
+        return len(self._queue)
+
+    @property
+    def unfinished(self) -> int:
+        """Return how many requests run or wait."""
+        return len(self._work)
+
+    @property
+    def retry_after_ms(self) -> int:
+        """Return the milliseconds after which a refused caller may succeed."""
+        expected = self._gate.service_seconds * (len(self._queue) + 1)
+        return max(MIN_RETRY_MS, int(1000 * expected / max(self._gate.limit, 1)))
+
+    def start(self, request: StartRequest, now: float) -> None:
+        """Run a request now, let it wait, or refuse it truthfully."""
+        key = (request.flow_id, request.number)
+        if not self._queue and self._gate.start():
+            self._work[key] = _Work(request, None)
+            self._outbox.add(request)
+            return
+        seconds = self._gate.service_seconds
+        if not self._queue.accepts(request.deadline, now, seconds, self._gate.limit):
+            self._outbox.count("requests.refused")
+            self.settle(*key, DidNotRun(RefusalReason.FULL, self.retry_after_ms), now)
+            return
+        waiting = Waiting(request.flow_id, request.number, request.deadline)
+        self._work[key] = _Work(request, waiting)
+        self._queue.push(waiting)
+
+    def on_finished(
+        self, flow_id: bytes, number: int, outcome: Outcome, seconds: float, now: float
+    ) -> None:
+        """Take the outcome of a request that was started."""
+        work = self._work.pop((flow_id, number), None)
+        if work is None:
+            return
+        proof = seconds if isinstance(outcome, Answered) else None
+        if self._gate.finish(now, work.request.era, proof):
+            self._outbox.count("gate.slow_cold")
+        self.settle(flow_id, number, outcome, now)
+        self._start_waiting(now)
+
+    def settle(self, flow_id: bytes, number: int, outcome: Outcome, now: float) -> None:
+        """Keep the final outcome of a number and tell the caller."""
+        flow = self._flows.get(flow_id)
+        if flow is None:
+            return
+        flow.ledger.finish(number, outcome)
+        self._kept_bytes += outcome.size
+        self._send_outcome(flow, number, outcome, now)
+
+    def repeat_outcome(self, flow: Flow, number: int, now: float) -> None:
+        """Answer a duplicate of a request."""
+        if flow.ledger.offer(number) is Verdict.RUNNING:
+            self.send_running(flow, number, now)
+            return
+        self._send_outcome(flow, number, flow.ledger.outcome(number), now)
+
+    def send_running(self, flow: Flow, number: int, now: float) -> None:
+        """Tell the caller that a request has arrived."""
+        self._outbox.send(flow, Running(flow.flow_id, self._incarnation, number), now)
+
+    def resend(self, flow: Flow, number: int, parts: list[int], now: float) -> None:
+        """Send parts of a kept answer again."""
+        outcome = flow.ledger.outcome(number)
+        if isinstance(outcome, Answered):
+            self._send_parts(flow, number, outcome, parts, now)
+        elif number not in flow.ledger.running:
+            self._send_outcome(flow, number, outcome, now)
+
+    def cancel(self, flow_id: bytes, number: int, now: float) -> None:
+        """Withdraw a request that waits, or cancel it on the backend server."""
+        work = self._work.get((flow_id, number))
+        if work is None:
+            return
+        if work.waiting is None:
+            self._outbox.add(CancelRequest(flow_id, number))
+        else:
+            self._refuse_waiting(work.waiting, RefusalReason.CANCELLED, now)
+
+    def abandon(self, flow: Flow) -> None:
+        """Drop what a flow that ends has open."""
+        if not flow.has_ledger:
+            return
+        self._kept_bytes -= flow.ledger.size
+        for number in flow.ledger.running:
+            key = (flow.flow_id, number)
+            work = self._work.get(key)
+            if work is None or work.waiting is None:
+                self._outbox.add(CancelRequest(*key))
+            else:
+                work.waiting.cancelled = True
+                del self._work[key]
+
+    def advance(self, flow: Flow, low_water: int) -> None:
+        """Forget the outcomes that the caller has received."""
+        if not flow.has_ledger:
+            return
+        before = flow.ledger.size
+        flow.ledger.advance(low_water)
+        self._kept_bytes -= before - flow.ledger.size
+
+    def restore(self, flow: Flow) -> None:
+        """Count the kept answers of a predecessor's flow."""
+        if flow.has_ledger:
+            self._kept_bytes += flow.ledger.size
+
+    def park(self) -> None:
+        """Start nothing more and withdraw what has not started.
+
+        Callers send withdrawn requests again, and the successor runs them.
+        """
+        self._parked = True
+        for key, work in list(self._work.items()):
+            if work.waiting is not None:
+                work.waiting.cancelled = True
+                self._flows[key[0]].ledger.withdraw(key[1])
+                del self._work[key]
+
+    def tick(self, now: float) -> None:
+        """Refuse what has waited too long and start what may run."""
+        for waiting in self._queue.expire(now):
+            self._refuse_waiting(waiting, RefusalReason.DEADLINE, now)
+        self._start_waiting(now)
+
+    def bound_kept_answers(self) -> None:
+        """Forget kept answers of the most silent flows when they take too much."""
+        if self._kept_bytes <= MAX_KEPT_ANSWER_BYTES:
+            return
+        for flow in sorted(self._flows.values(), key=lambda f: f.last_seen):
+            if flow.has_ledger:
+                self._kept_bytes -= flow.ledger.drop_answers()
+            if self._kept_bytes <= MAX_KEPT_ANSWER_BYTES // 2:
+                return
+
+    def _start_waiting(self, now: float) -> None:
+        if self._parked:
+            return
+        while self._queue and self._gate.running < self._gate.limit:
+            waiting = self._queue.pop()
+            if waiting is None:
+                return
+            if waiting.deadline <= now + self._gate.service_seconds:
+                self._refuse_waiting(waiting, RefusalReason.DEADLINE, now)
+                continue
+            self._gate.start()
+            work = self._work[(waiting.flow_id, waiting.number)]
+            work.waiting = None
+            work.request = replace(work.request, era=self._gate.era)
+            self._outbox.add(work.request)
+
+    def _refuse_waiting(
+        self, waiting: Waiting, reason: RefusalReason, now: float
+    ) -> None:
+        waiting.cancelled = True
+        key = (waiting.flow_id, waiting.number)
+        self._work.pop(key, None)
+        self._outbox.count(f"requests.{reason.name.lower()}")
+        self.settle(*key, DidNotRun(reason), now)
+
+    def _send_outcome(
+        self, flow: Flow, number: int, outcome: Outcome, now: float
+    ) -> None:
+        who = (flow.flow_id, self._incarnation, number)
+        if isinstance(outcome, Answered):
+            first = range(min(WINDOW_PARTS, len(outcome.parts)))
+            self._send_parts(flow, number, outcome, first, now)
+        elif isinstance(outcome, DidNotRun):
+            refusal = RequestNotRun(*who, outcome.reason, outcome.retry_after_ms)
+            self._outbox.send(flow, refusal, now)
+        else:
+            assert isinstance(outcome, MayHaveRun)
+            self._outbox.send(flow, RequestUnknown(*who), now)
+
+    def _send_parts(
+        self,
+        flow: Flow,
+        number: int,
+        answer: Answered,
+        indexes: Iterable[int],
+        now: float,
+    ) -> None:
+        total = len(answer.parts)
+        for index in indexes:
+            if not 0 <= index < total:
+                continue
+            part = AnswerPart(
+                flow.flow_id,
+                self._incarnation,
+                number,
+                answer.status,
+                index,
+                total,
+                answer.parts[index],
+            )
+            self._outbox.send(flow, part, now)
--- a/src/berylturn_standins/scenarios.py
+++ b/src/berylturn_standins/scenarios.py
@@ -144,8 +144,11 @@
 
 
 async def kill_backend(deployment: Deployment) -> None:
-    """End one backend server for good; its agent lives on."""
-    await deployment.kill(deployment.plan.servers[0].name)
+    """End the backend server with the most flows for good; its agent lives on."""
+    flows = {}
+    for server in deployment.plan.servers:
+        flows[server.name] = (await deployment.get(server.name, "/_record"))["flows"]
+    await deployment.kill(max(flows, key=flows.__getitem__))
     await asyncio.sleep(4 * SETTLE_SECONDS)
 
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -125,7 +125,7 @@
         self.take_effects()
 
     def take_effects(self):
-        for effect in self.rules.take_effects():
+        for effect in self.rules.outbox.take_effects():
             if isinstance(effect, StartRequest):
                 key = (effect.flow_id, effect.number)
                 self.started[key] += 1
@@ -180,7 +180,7 @@
         key = data.draw(st.sampled_from(sorted(self.running)))
         request = self.running.pop(key)
         outcome = split_answer(200, request.body) if known else MayHaveRun()
-        self.rules.on_finished(*key, outcome, seconds, self.now)
+        self.rules.requests.on_finished(*key, outcome, seconds, self.now)
         self.take_effects()
 
     @rule(flow=st.sampled_from(FLOWS), number=st.integers(0, 10))
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,277 @@
+"""Tables for rules without I/O: placement, passing on, retries, channels, view."""
+
+from __future__ import annotations
+
+import doctest
+import importlib
+import json
+import pkgutil
+import unittest
+from collections import Counter
+
+from nose2.tools import params
+
+import berylturn
+from berylturn.connection.channel import ChannelAction, ChannelMonitor
+from berylturn.connection.frames import (
+    ConfigObject,
+    LoadDigest,
+    MemberState,
+    Role,
+    Status,
+)
+from berylturn.connection.gate import AdmissionGate, Limits
+from berylturn.connection.packets import RefusalReason
+from berylturn.connection.siblings import Siblings
+from berylturn.process.homes import Homes
+from berylturn.request.retry import Failure, RetryBudget, decide_retry
+from berylturn.version.placement import place_flow, rank_candidates
+from berylturn.version.view import View
+
+
+def agent(name, centre, status=Status.ALIVE, epoch=1):
+    return MemberState(name, Role.AGENT, centre, ("127.0.0.1", 1), epoch, status)
+
+
+def labels(name, version, **values):
+    body = {"labels": {"app": "booking", **values}}
+    return ConfigObject(f"server/{name}", version, json.dumps(body).encode())
+
+
+def selector(version, service="booking", address="127.0.0.1:9", shares=None):
+    body = {"service": service, "address": address, "match": "app=booking"}
+    if shares:
+        body["shares"] = shares
+    return ConfigObject(f"selector/{service}", version, json.dumps(body).encode())
+
+
+def make_view(shares=None):
+    view = View()
+    view.apply([labels("a", 1), labels("b", 2), labels("c", 3, speed="2")])
+    view.apply([selector(4, shares=shares)])
+    for name, centre in (("a", "x"), ("b", "x"), ("c", "y")):
+        view.set_agent(agent(name, centre))
+    return view
+
+
+def flows(count):
+    return [i.to_bytes(16) for i in range(count)]
+
+
+class Placement(unittest.TestCase):
+    """Where new flows go."""
+
+    @params(
+        (None, {"a": 25, "b": 25, "c": 50}),
+        ({"x": 80, "y": 20}, {"a": 40, "b": 40, "c": 20}),
+        ({"x": 0, "y": 100}, {"a": 0, "b": 0, "c": 100}),
+    )
+    def test_shares_and_weights(self, shares, expected):
+        table = make_view(shares).table("booking")
+        found = Counter(place_flow(table, f, 0).name for f in flows(4000))
+        for name, percent in expected.items():
+            self.assertAlmostEqual(found[name] / 40, percent, delta=3)
+
+    def test_attempts_reach_every_server_and_change_data_centre_first(self):
+        table = make_view().table("booking")
+        for flow in flows(50):
+            ranked = rank_candidates(table, flow)
+            tried = [place_flow(table, flow, attempt) for attempt in range(3)]
+            self.assertEqual(tried, ranked)
+            self.assertEqual({c.name for c in tried}, {"a", "b", "c"})
+            self.assertNotEqual(tried[0].data_centre, tried[1].data_centre)
+
+    @params(
+        (labels("a", 9, state="drain"), {"b", "c"}),
+        (ConfigObject("server/a", 9, None), {"b", "c"}),
+        (ConfigObject("data-centre/x", 9, b'{"labels": {"state": "out"}}'), {"c"}),
+    )
+    def test_what_takes_no_flows(self, change, left):
+        view = make_view()
+        view.apply([change])
+        found = {place_flow(view.table("booking"), f, 0).name for f in flows(200)}
+        self.assertEqual(found, left)
+
+    @params(
+        ([("a", Status.SUSPECT)], {"b", "c"}),
+        ([("a", Status.DEAD), ("b", Status.LEFT)], {"c"}),
+        ([("a", Status.SUSPECT), ("b", Status.SUSPECT), ("c", Status.SUSPECT)], None),
+    )
+    def test_suspects_are_used_only_when_nothing_else_is_left(self, changes, left):
+        view = make_view()
+        for name, status in changes:
+            view.set_agent(agent(name, "x" if name != "c" else "y", status))
+        found = {place_flow(view.table("booking"), f, 0).name for f in flows(200)}
+        self.assertEqual(found, left or {"a", "b", "c"})
+
+    def test_an_invalid_object_leaves_the_last_valid_one_in_force(self):
+        view = make_view()
+        (change,) = view.apply([ConfigObject("selector/booking", 9, b"{")])
+        self.assertIn("malformed", change.problem)
+        self.assertEqual(view.table("booking").size, 3)
+        self.assertEqual(view.apply([selector(8)]), [])
+        self.assertEqual(view.store.version("selector/booking"), 9)
+
+    def test_one_address_serves_one_service(self):
+        view = make_view()
+        (change,) = view.apply([selector(9, service="media")])
+        self.assertIn("belongs to service booking", change.problem)
+        self.assertIsNone(view.table("media"))
+
+
+class PassingOn(unittest.TestCase):
+    """When an agent passes a new flow on to a sibling."""
+
+    def choose(self, own, others, full=False, centres=None):
+        siblings = Siblings("me")
+        siblings.set_members([agent(name, centre) for name, centre, _ in others])
+        for name, _, count in others:
+            digest = LoadDigest(name, 1, ["booking"], 0, 0, count, 3, 3.0, True)
+            siblings.on_digest(digest, 0.0)
+        siblings.on_own_digest(own)
+        chosen = siblings.choose("booking", own, 3.0, full, [], centres, now=0.1)
+        return chosen.name if chosen else None
+
+    @params(
+        (10, [("b", "x", 10)], None),
+        (20, [("b", "x", 10)], "b"),
+        (11, [("b", "x", 10)], None),
+        (20, [("b", "x", 30), ("c", "y", 2)], "c"),
+        (0, [], None),
+    )
+    def test_only_a_clear_excess_is_passed_on(self, own, others, chosen):
+        self.assertEqual(self.choose(own, others), chosen)
+
+    def test_shares_keep_flows_in_their_data_centre(self):
+        others = [("b", "x", 19), ("c", "y", 0)]
+        self.assertEqual(self.choose(30, others, centres={"x"}), "b")
+
+    def test_the_excess_of_one_report_is_passed_on_once(self):
+        siblings = Siblings("me")
+        siblings.set_members([agent("b", "x")])
+        digest = LoadDigest("b", 1, ["booking"], 0, 0, 0, 3, 3.0, True)
+        siblings.on_digest(digest, 0.0)
+        siblings.on_own_digest(20)
+        passed = [
+            siblings.choose("booking", 20, 3.0, False, [], None, now=0.1)
+            for _ in range(40)
+        ]
+        self.assertEqual(sum(p is not None for p in passed), 9)
+
+    def test_old_digests_do_not_count(self):
+        siblings = Siblings("me")
+        siblings.set_members([agent("b", "x")])
+        siblings.on_digest(LoadDigest("b", 1, ["booking"], 0, 0, 0, 3, 3.0, True), 0.0)
+        siblings.on_own_digest(20)
+        args = ("booking", 20, 3.0, False, [], None)
+        self.assertIsNone(siblings.choose(*args, now=2.0))
+
+
+class Retries(unittest.TestCase):
+    """Which failures are tried again."""
+
+    @params(
+        (False, False, 1, 1.0, True),
+        (True, True, 1, 1.0, True),
+        (True, False, 1, 1.0, False),
+        (False, False, 1, 0.01, False),
+    )
+    def test_decisions(self, may_have_run, repeatable, attempt, remaining, retried):
+        failure = Failure(may_have_run)
+        delay = decide_retry(
+            failure, repeatable, attempt, remaining, 0.5, RetryBudget()
+        )
+        self.assertEqual(delay is not None, retried)
+
+    def test_the_budget_bounds_retries(self):
+        budget = RetryBudget(share=0.1, reserve=5.0)
+        allowed = 0
+        for _ in range(1000):
+            budget.on_first_attempt()
+            allowed += (
+                decide_retry(Failure(False), True, 1, 9.0, 0.5, budget) is not None
+            )
+        self.assertLessEqual(allowed, 105)
+        self.assertGreaterEqual(allowed, 95)
+
+
+class Gate(unittest.TestCase):
+    """Limits of a backend server."""
+
+    LIMITS = Limits(slots=3, cold_limit=1, cold_seconds=2.0, connections=5)
+
+    def answer(self, gate, now, seconds, count):
+        for _ in range(count):
+            self.assertTrue(gate.start())
+            gate.finish(now, gate.era, seconds)
+
+    def test_rises_only_after_the_cold_time_and_by_proof(self):
+        gate = AdmissionGate(self.LIMITS, 0.0)
+        self.answer(gate, 1.0, 0.1, 50)
+        self.assertEqual(gate.limit, 1)
+        self.answer(gate, 3.0, 0.1, 3)
+        self.assertEqual(gate.limit, 2)
+        self.answer(gate, 3.0, 0.1, 6)
+        self.assertEqual(gate.limit, 3)
+
+    def test_answers_from_before_a_restart_prove_nothing(self):
+        gate = AdmissionGate(self.LIMITS, 0.0)
+        gate.start()
+        era = gate.era
+        gate.fall_cold(1.0)
+        gate.finish(9.0, era, 0.1)
+        self.assertEqual(gate.limit, 1)
+
+    def test_slow_answers_are_a_sign(self):
+        gate = AdmissionGate(self.LIMITS, 0.0)
+        self.answer(gate, 3.0, 0.1, 60)
+        self.assertTrue(gate.warm)
+        self.answer(gate, 4.0, 0.5, 6)
+        self.assertEqual(gate.limit, 1)
+
+    @params(
+        ("draining", RefusalReason.DRAINING),
+        ("out", RefusalReason.DRAINING),
+        ("down", RefusalReason.DRAINING),
+    )
+    def test_closed_gates(self, name, reason):
+        gate = AdmissionGate(self.LIMITS, 0.0)
+        setattr(gate, name, True)
+        self.assertEqual(gate.admit_flow(0.0), reason)
+
+    def test_connections_are_bounded(self):
+        gate = AdmissionGate(self.LIMITS, 0.0)
+        found = [gate.admit_flow(0.0) for _ in range(6)]
+        self.assertEqual(found, [None] * 5 + [RefusalReason.FULL])
+
+
+class Silence(unittest.TestCase):
+    """Channels that have gone silent."""
+
+    def test_probe_then_rebind_once_then_unreachable(self):
+        monitor = ChannelMonitor()
+        monitor.on_sent(("h", 1), 0.0)
+        actions = [a for t in range(1, 30) for _, a in monitor.tick(t / 10)]
+        self.assertEqual(actions[0], ChannelAction.PROBE)
+        self.assertEqual(actions.count(ChannelAction.REBIND), 1)
+        self.assertEqual(monitor.unreachable(2.9), {("h", 1)})
+        monitor.on_heard(("h", 1))
+        self.assertEqual(monitor.unreachable(2.9), set())
+
+    def test_an_agent_leaves_balancers_that_do_not_answer(self):
+        homes = Homes([("h", 1), ("h", 2), ("h", 3)], period=1.0)
+        asked = [a for t in range(40) for a, _, _ in homes.due(t / 10)]
+        self.assertEqual(set(asked), {("h", 1), ("h", 2), ("h", 3)})
+        self.assertTrue(homes.take_silence())
+
+
+class Examples(unittest.TestCase):
+    """Examples in the documentation of modules."""
+
+    def test_examples_are_true(self):
+        tried = 0
+        for info in pkgutil.walk_packages(berylturn.__path__, "berylturn."):
+            result = doctest.testmod(importlib.import_module(info.name))
+            self.assertEqual(result.failed, 0, info.name)
+            tried += result.attempted
+        self.assertGreater(tried, 15)
