--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -22,7 +22,7 @@
 import uvloop
 
 from berylturn.caller import Caller
-from berylturn.connection.admission import AgentRules, Identity
+from berylturn.connection.admission import AgentRules
 from berylturn.connection.effects import SendToCaller
 from berylturn.connection.frames import (
     Announce,
@@ -38,6 +38,7 @@
 )
 from berylturn.connection.gate import AdmissionGate, Limits
 from berylturn.connection.keys import KeyRing, parse_key
+from berylturn.connection.opening import Identity
 from berylturn.connection.packets import Accepted, Open, Ping, encode_packet
 from berylturn.connection.router import route_packet
 from berylturn.connection.token import RouteToken, issue_token
@@ -372,11 +373,13 @@
 def digest_costs() -> dict[str, float]:
     """Return cost and size of one load digest."""
     rules = make_rules()
-    data = seal_frame(rules.load_digest(), KEYS)
+    data = seal_frame(rules.opening.load_digest(), KEYS)
     return {
-        "send_us": time_call(lambda: seal_frame(rules.load_digest(), KEYS), 5000),
+        "send_us": time_call(
+            lambda: seal_frame(rules.opening.load_digest(), KEYS), 5000
+        ),
         "receive_us": time_call(
-            lambda: rules.siblings.on_digest(open_frame(data, KEYS), 1.0), 5000
+            lambda: rules.opening.siblings.on_digest(open_frame(data, KEYS), 1.0), 5000
         ),
         "bytes": len(data) + IP_UDP_BYTES,
     }
--- a/src/berylturn/caller.py
+++ b/src/berylturn/caller.py
@@ -8,89 +8,38 @@
 
 import asyncio
 import random
-import secrets
 from collections import Counter
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
 from datetime import timedelta
 
+from .connection.caller_flow import (
+    DEFAULT_DEADLINE,
+    REBIND_SILENT_SECONDS,
+    Answer,
+    CallerFlow,
+)
 from .connection.packets import (
-    FLOW_ID_BYTES,
     Accepted,
-    AnswerPart,
-    Cancel,
-    Close,
     CloseReason,
-    FlowClosed,
-    Missing,
     Open,
     Packet,
-    Ping,
-    Pong,
     RefusalReason,
     Refused,
-    Request,
-    RequestNotRun,
-    RequestUnknown,
-    StreamItem,
-    StreamState,
     decode_to_caller,
     encode_packet,
 )
-from .connection.parts import WINDOW_PARTS, Assembly, split_body
 from .errors import FlowEnded, FlowRefused, NotRun, OutcomeUnknown, PacketError
 from .process.clock import Clock, SystemClock
 from .process.sockets import open_udp
 from .request.retry import Failure, RetryBudget, decide_retry
 
+__all__ = ["Answer", "Caller", "CallerFlow", "Session"]
+
 Address = tuple[str, int]
 
 OPEN_RETRY_SECONDS = 0.15
 OPEN_SECONDS = 5.0
-FIRST_RETRANSMIT_SECONDS = 0.1
-MAX_RETRANSMIT_SECONDS = 0.5
-PARTS_PAUSE_SECONDS = 0.04
-PING_IDLE_SECONDS = 5.0
-PING_STREAM_SECONDS = 0.25
-PING_RETRY_SECONDS = 0.2
-GAP_RETRY_SECONDS = 0.1
-REBIND_SILENT_SECONDS = 0.7
-LOST_SILENT_SECONDS = 2.0
-CLOSED_LINGER_SECONDS = 1.5
-DEFAULT_DEADLINE = timedelta(seconds=5)
-
-
-@dataclass(frozen=True)
-class Answer:
-    """Whole answer to one request."""
-
-    status: int
-    body: bytes
-
-
-@dataclass
-class _Pending:
-    """One request that waits for its outcome."""
-
-    packets: list[bytes]
-    done: asyncio.Future[Answer]
-    assembly: Assembly | None = None
-    status: int = 0
-    asked_until: int = WINDOW_PARTS
-    part_at: float = 0.0
-
-
-@dataclass
-class _StreamInbox:
-    """Items of one stream, put in order."""
-
-    packet: bytes
-    queue: asyncio.Queue[bytes | None] = field(default_factory=asyncio.Queue)
-    next_sequence: int = 0
-    early: dict[int, bytes] = field(default_factory=dict)
-    total: int = 0
-    ended: bool = False
-    heard: bool = False
+MAX_REFUSED_PAUSE_SECONDS = 1.0
 
 
 class Caller:
@@ -163,7 +112,9 @@
             if isinstance(answer, Refused):
                 refusal = answer.reason
                 pause = answer.retry_after_ms / 1000
-                await asyncio.sleep(min(pause, 1.0) * (0.5 + random.random()))
+                await asyncio.sleep(
+                    min(pause, MAX_REFUSED_PAUSE_SECONDS) * (0.5 + random.random())
+                )
             attempt += 1
         self._flows.pop(flow.flow_id, None)
         raise FlowRefused(
@@ -213,376 +164,6 @@
         flow.on_packet(packet)
 
 
-class CallerFlow:
-    """One flow to one backend server; ends for good when that is lost.
-
-    Parameters
-    ----------
-    caller : Caller
-        Owner of the socket.
-    service : str
-        Name of the service.
-    """
-
-    def __init__(self, caller: Caller, service: str) -> None:
-        self._caller = caller
-        self._clock = caller.clock
-        self._service = service
-        self._flow_id = secrets.token_bytes(FLOW_ID_BYTES)
-        self._token = b""
-        self._incarnation = 0
-        self._number = 0
-        self._pending: dict[int, _Pending] = {}
-        self._streams: dict[int, _StreamInbox] = {}
-        self._opened: asyncio.Future[Accepted | Refused] | None = None
-        self._accepted: Accepted | None = None
-        self._awaiting_since: float | None = None
-        self._heard_at = 0.0
-        self._ping_sequence = 0
-        self._watcher: asyncio.Task[None] | None = None
-        self._closing = False
-        self._close_reason: CloseReason | None = None
-
-    @property
-    def flow_id(self) -> bytes:
-        """Return the 128-bit identifier."""
-        return self._flow_id
-
-    @property
-    def service(self) -> str:
-        """Return the name of the service."""
-        return self._service
-
-    @property
-    def usable(self) -> bool:
-        """Tell whether new requests can be sent."""
-        return bool(self._token) and not self._closing
-
-    @property
-    def close_reason(self) -> CloseReason | None:
-        """Return why the flow ended, or None."""
-        return self._close_reason
-
-    async def request(
-        self,
-        body: bytes,
-        repeatable: bool = False,
-        deadline: timedelta = DEFAULT_DEADLINE,
-    ) -> Answer:
-        """Send one request and return its whole answer.
-
-        Raises
-        ------
-        NotRun
-            The request certainly did not run.
-        OutcomeUnknown
-            The request may have run.
-        FlowEnded
-            The flow had ended before the request was sent.
-        """
-        self._check_usable()
-        number, packets = self._number_request(body, repeatable, False, deadline)
-        future = asyncio.get_running_loop().create_future()
-        pending = self._pending[number] = _Pending(packets, future)
-        try:
-            return await self._exchange(number, pending, deadline.total_seconds())
-        finally:
-            del self._pending[number]
-
-    async def stream(self, body: bytes) -> AsyncIterator[bytes]:
-        """Send a subscription and yield its data, in order and without gaps.
-
-        Raises
-        ------
-        FlowEnded
-            The flow ended while the stream was open.
-        """
-        self._check_usable()
-        number, packets = self._number_request(body, True, True, timedelta())
-        inbox = self._streams[number] = _StreamInbox(packets[0])
-        self._send_bytes(packets[0])
-        try:
-            while True:
-                item = await inbox.queue.get()
-                if item is None:
-                    break
-                yield item
-            if not inbox.ended:
-                raise FlowEnded(
-                    "the flow ended during the stream; open another and resubscribe"
-                )
-        finally:
-            del self._streams[number]
-            if self._token and self._close_reason is None:
-                self._caller.send(Cancel(self._token, number))
-
-    def cancel_all(self) -> None:
-        """Withdraw all requests that wait for an answer."""
-        for number in self._pending:
-            self._caller.send(Cancel(self._token, number))
-
-    def close(self) -> None:
-        """End the flow from the caller's side."""
-        if self._token and self._close_reason is None:
-            self._caller.send(Close(self._token))
-        self._end(CloseReason.CALLER)
-
-    async def wait_opened(self, seconds: float) -> Accepted | Refused | None:
-        """Return the answer to `Open`, or None when there was none in time.
-
-        An acceptance that came between two attempts counts.
-        """
-        if self._accepted is not None:
-            return self._accepted
-        self._opened = asyncio.get_running_loop().create_future()
-        try:
-            return await asyncio.wait_for(self._opened, seconds)
-        except TimeoutError:
-            return self._accepted
-
-    def start(self) -> None:
-        """Begin to watch over the flow."""
-        self._heard_at = self._clock.monotonic()
-        self._send_ping()
-        self._watcher = asyncio.create_task(self._watch())
-
-    def on_packet(self, packet: Packet) -> None:
-        """Take one packet of this flow."""
-        if isinstance(packet, Accepted | Refused):
-            self._on_opened(packet)
-            return
-        if packet.incarnation != self._incarnation:
-            return
-        self._heard_at = self._clock.monotonic()
-        self._awaiting_since = None
-        if isinstance(packet, AnswerPart):
-            self._on_part(packet)
-        elif isinstance(packet, StreamItem | StreamState):
-            self._on_stream(packet)
-        elif isinstance(packet, FlowClosed):
-            self._on_closed(packet.reason)
-        elif not isinstance(packet, Pong):
-            self._on_outcome(packet)
-
-    def _check_usable(self) -> None:
-        if not self.usable:
-            reason = self._close_reason
-            raise FlowEnded(
-                f"the flow has ended ({reason.name.lower() if reason else 'closing'});"
-                " open another"
-            )
-
-    def _number_request(
-        self, body: bytes, repeatable: bool, stream: bool, deadline: timedelta
-    ) -> tuple[int, list[bytes]]:
-        number = self._number
-        self._number += 1
-        parts = split_body(body)
-        milliseconds = int(deadline.total_seconds() * 1000)
-        low_water = self._low_water(number)
-        packets = [
-            encode_packet(
-                Request(
-                    self._token,
-                    number,
-                    low_water,
-                    repeatable,
-                    stream,
-                    milliseconds,
-                    index,
-                    len(parts),
-                    part,
-                )
-            )
-            for index, part in enumerate(parts)
-        ]
-        return number, packets
-
-    def _low_water(self, default: int) -> int:
-        return min([*self._pending, *self._streams, default])
-
-    async def _exchange(self, number: int, pending: _Pending, seconds: float) -> Answer:
-        deadline = self._clock.monotonic() + seconds
-        delay = FIRST_RETRANSMIT_SECONDS
-        self._send_request(pending)
-        while True:
-            remaining = deadline - self._clock.monotonic()
-            if remaining <= 0:
-                self._caller.send(Cancel(self._token, number))
-                raise OutcomeUnknown(
-                    "no answer before the deadline; check before you send it again"
-                )
-            wait = PARTS_PAUSE_SECONDS if pending.assembly else delay
-            done, _ = await asyncio.wait([pending.done], timeout=min(wait, remaining))
-            if done:
-                return pending.done.result()
-            if pending.assembly is not None:
-                self._ask_missing(number, pending)
-            else:
-                delay = min(2 * delay, MAX_RETRANSMIT_SECONDS)
-                self._caller.counters["retransmits"] += 1
-                self._send_request(pending)
-            self._check_silence()
-
-    def _send_request(self, pending: _Pending) -> None:
-        for data in pending.packets:
-            self._send_bytes(data)
-
-    def _ask_missing(self, number: int, pending: _Pending) -> None:
-        missing = pending.assembly.missing()
-        if missing:
-            pending.asked_until = missing[-1] + 1
-            self._send_bytes(encode_packet(Missing(self._token, number, missing)))
-
-    def _on_opened(self, packet: Accepted | Refused) -> None:
-        if self._token:
-            accepted_elsewhere = (
-                isinstance(packet, Accepted) and packet.token != self._token
-            )
-            if accepted_elsewhere:
-                self._caller.send(Close(packet.token))
-            return
-        if isinstance(packet, Accepted):
-            self._accepted = packet
-            self._token = packet.token
-            self._incarnation = packet.incarnation
-        if self._opened is not None and not self._opened.done():
-            self._opened.set_result(packet)
-
-    def _on_part(self, packet: AnswerPart) -> None:
-        pending = self._pending.get(packet.number)
-        if pending is None or pending.done.done():
-            self._caller.counters["late"] += 1
-            return
-        if pending.assembly is None:
-            pending.assembly = Assembly(packet.parts)
-            pending.status = packet.status
-        if not pending.assembly.add(packet.part, packet.body):
-            return
-        if pending.assembly.complete:
-            pending.done.set_result(Answer(pending.status, pending.assembly.body()))
-        elif packet.part == pending.asked_until - 1:
-            self._ask_missing(packet.number, pending)
-
-    def _on_outcome(self, packet: Packet) -> None:
-        pending = self._pending.get(packet.number)
-        if pending is None or pending.done.done():
-            return
-        if isinstance(packet, RequestNotRun):
-            error = NotRun(
-                f"the request did not run ({packet.reason.name.lower()}); "
-                "it may be sent again"
-            )
-            error.retry_after = packet.retry_after_ms / 1000
-            error.reason = packet.reason
-            pending.done.set_exception(error)
-        elif isinstance(packet, RequestUnknown):
-            pending.done.set_exception(_unknown("its server lost track of it"))
-
-    def _on_stream(self, packet: StreamItem | StreamState) -> None:
-        inbox = self._streams.get(packet.number)
-        if inbox is None:
-            self._caller.send(Cancel(self._token, packet.number))
-            return
-        inbox.heard = True
-        if isinstance(packet, StreamItem):
-            if packet.sequence >= inbox.next_sequence:
-                inbox.early[packet.sequence] = packet.body
-            inbox.total = max(inbox.total, packet.sequence + 1)
-        else:
-            inbox.total = max(inbox.total, packet.items)
-            inbox.ended = inbox.ended or packet.ended
-        self._deliver(packet.number, inbox)
-
-    def _deliver(self, number: int, inbox: _StreamInbox) -> None:
-        while inbox.next_sequence in inbox.early:
-            inbox.queue.put_nowait(inbox.early.pop(inbox.next_sequence))
-            inbox.next_sequence += 1
-        if inbox.next_sequence < inbox.total:
-            self._ask_items(number, inbox)
-        elif inbox.ended:
-            inbox.queue.put_nowait(None)
-
-    def _ask_items(self, number: int, inbox: _StreamInbox) -> None:
-        if inbox.next_sequence < inbox.total:
-            last = min(inbox.total, inbox.next_sequence + WINDOW_PARTS)
-            wanted = range(inbox.next_sequence, last)
-            missing = [s for s in wanted if s not in inbox.early]
-            self._send_bytes(encode_packet(Missing(self._token, number, missing)))
-
-    def _on_closed(self, reason: CloseReason) -> None:
-        if reason is CloseReason.DRAINED and not self._closing:
-            self._closing = True
-            self._close_reason = reason
-            asyncio.get_running_loop().call_later(
-                CLOSED_LINGER_SECONDS, self._end, reason
-            )
-            self._end_streams()
-        elif reason is not CloseReason.DRAINED:
-            self._end(reason)
-
-    def _end(self, reason: CloseReason) -> None:
-        if self._close_reason is None:
-            self._close_reason = reason
-        self._closing = True
-        self._caller.forget(self._flow_id)
-        if self._watcher is not None:
-            self._watcher.cancel()
-        for pending in self._pending.values():
-            if not pending.done.done():
-                pending.done.set_exception(
-                    _unknown(f"its flow ended ({reason.name.lower()})")
-                )
-        self._end_streams()
-
-    def _end_streams(self) -> None:
-        for inbox in self._streams.values():
-            inbox.queue.put_nowait(None)
-
-    def _send_bytes(self, data: bytes) -> None:
-        if self._awaiting_since is None:
-            self._awaiting_since = self._clock.monotonic()
-        self._caller.send_bytes(data)
-
-    def _send_ping(self) -> None:
-        self._ping_sequence += 1
-        low_water = self._low_water(self._number)
-        ping = Ping(self._token, low_water, self._ping_sequence)
-        self._send_bytes(encode_packet(ping))
-
-    async def _watch(self) -> None:
-        pinged_at = self._clock.monotonic()
-        while True:
-            interval = PING_STREAM_SECONDS if self._streams else PING_IDLE_SECONDS
-            if self._awaiting_since is not None:
-                interval = PING_RETRY_SECONDS
-            await asyncio.sleep(min(interval, self._watch_pause()))
-            now = self._clock.monotonic()
-            if now - pinged_at >= interval:
-                pinged_at = now
-                self._send_ping()
-            for number, inbox in list(self._streams.items()):
-                if not inbox.heard:
-                    self._send_bytes(inbox.packet)
-                else:
-                    self._ask_items(number, inbox)
-            self._check_silence()
-
-    def _watch_pause(self) -> float:
-        gaps = any(i.next_sequence < i.total for i in self._streams.values())
-        return GAP_RETRY_SECONDS if gaps else 2 * PING_STREAM_SECONDS
-
-    def _check_silence(self) -> None:
-        if self._awaiting_since is None:
-            return
-        silent = self._clock.monotonic() - self._awaiting_since
-        if silent > LOST_SILENT_SECONDS:
-            self._caller.counters["flows_lost"] += 1
-            self._end(CloseReason.FLOW_LOST)
-        elif silent > REBIND_SILENT_SECONDS:
-            self._caller.rebind()
-
-
 class Session:
     """Keep a flow open, reopen it when it ends, and retry what may be retried.
 
@@ -642,32 +223,32 @@
         end = clock.monotonic() + deadline.total_seconds()
         self._budget.on_first_attempt()
         attempt = 0
+        may_have_run = False
         while True:
             attempt += 1
-            remaining = timedelta(seconds=max(0.0, end - clock.monotonic()))
             try:
-                flow = await self.ensure_flow(remaining)
-                remaining = timedelta(seconds=max(0.0, end - clock.monotonic()))
-                return await flow.request(body, repeatable, remaining)
-            except (FlowRefused, FlowEnded) as error:
-                failure = Failure(may_have_run=False)
-                last: Exception = NotRun(f"the request was not sent: {error}")
-            except NotRun as error:
-                failure = Failure(False, error.retry_after)
-                last = error
-            except OutcomeUnknown as error:
-                failure = Failure(may_have_run=True)
+                return await self._try_once(body, repeatable, end)
+            except (NotRun, OutcomeUnknown) as error:
                 last = error
+            failure = _describe_failure(last)
+            may_have_run = may_have_run or failure.may_have_run
             left = end - clock.monotonic()
-            jitter = random.random()
             delay = decide_retry(
-                failure, repeatable, attempt, left, jitter, self._budget
+                failure, repeatable, attempt, left, random.random(), self._budget
             )
             if delay is None:
-                raise last
+                raise _final_error(last, may_have_run)
             self.retries += 1
             await asyncio.sleep(delay)
 
+    async def _try_once(self, body: bytes, repeatable: bool, end: float) -> Answer:
+        clock = self._caller.clock
+        try:
+            flow = await self.ensure_flow(_until(end, clock))
+            return await flow.request(body, repeatable, _until(end, clock))
+        except (FlowRefused, FlowEnded) as error:
+            raise NotRun(f"the request was not sent: {error}") from error
+
     async def stream(self, body: bytes) -> AsyncIterator[bytes]:
         """Follow a subscription across flows; data of a new flow starts anew."""
         while True:
@@ -685,7 +266,22 @@
             self._flow.close()
 
 
-def _unknown(reason: str) -> OutcomeUnknown:
-    return OutcomeUnknown(
-        f"the request may have run, {reason}; check before you send it again"
-    )
+def _until(end: float, clock: Clock) -> timedelta:
+    return timedelta(seconds=max(0.0, end - clock.monotonic()))
+
+
+def _describe_failure(error: NotRun | OutcomeUnknown) -> Failure:
+    if isinstance(error, OutcomeUnknown):
+        return Failure(may_have_run=True)
+    return Failure(may_have_run=False, retry_after=error.retry_after)
+
+
+def _final_error(
+    last: NotRun | OutcomeUnknown, may_have_run: bool
+) -> NotRun | OutcomeUnknown:
+    """Return the error to raise; one attempt that may have run decides."""
+    if may_have_run and isinstance(last, NotRun):
+        return OutcomeUnknown(
+            "an earlier attempt may have run; check before you send it again"
+        )
+    return last
--- a/src/berylturn/connection/admission.py
+++ b/src/berylturn/connection/admission.py
@@ -25,21 +25,20 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from ..errors import AuthenticationError, PacketError
 from ..request.execution import RequestRules
 from ..request.ledger import Answered, DidNotRun
 from ..request.queue import RequestQueue
 from ..version.view import View
-from .effects import FlowDecision, ReleaseFlow, SendFrame, StartRequest
+from .effects import ReleaseFlow, StartRequest
 from .flow import Flow
-from .frames import LoadDigest, ToAgent
+from .frames import ToAgent
 from .gate import AdmissionGate
 from .keys import KeyRing
+from .opening import Arrival, Identity, OpeningRules
 from .outbox import Outbox
 from .packets import (
-    Accepted,
     Cancel,
     Close,
     CloseReason,
@@ -50,14 +49,12 @@
     Ping,
     Pong,
     RefusalReason,
-    Refused,
     Request,
     decode_from_caller,
 )
 from .parts import WINDOW_PARTS, Assembly, split_body
-from .siblings import MAX_HOPS, Siblings
 from .streams import StreamRules
-from .token import RouteToken, issue_token, verify_token
+from .token import verify_token
 
 Address = tuple[str, int]
 
@@ -67,25 +64,6 @@
 MAX_ASSEMBLIES = 16
 
 
-@dataclass(frozen=True)
-class Identity:
-    """Say which agent this is; `address` is where balancers send to."""
-
-    name: str
-    data_centre: str
-    address: Address
-    incarnation: int
-
-
-@dataclass(frozen=True)
-class _Arrival:
-    """One `Open` on its way: where it came from and who has had it."""
-
-    packet: Open
-    frame: ToAgent
-    balancer: Address
-
-
 class AgentRules:
     """Decide what an agent does with packets, answers and the passing of time.
 
@@ -121,15 +99,15 @@
         self._flow_idle = flow_idle
         self._flows: dict[bytes, Flow] = {}
         self._next_scan = 0.0
-        self._digest_sequence = 0
         self._closing = False
         self._parked = False
-        self.stopping = False
         self.outbox = Outbox()
-        self.siblings = Siblings(identity.name)
         incarnation = identity.incarnation
         self.streams = StreamRules(self._flows, incarnation, self.outbox)
         self.requests = RequestRules(self._flows, incarnation, gate, queue, self.outbox)
+        self.opening = OpeningRules(
+            identity, keys, gate, view, self._flows, self.requests, self.outbox
+        )
         self._handlers: dict[type, Callable[..., None]] = {
             Request: self._on_request,
             Missing: self._on_missing,
@@ -153,11 +131,6 @@
         """Return the admission gate."""
         return self._gate
 
-    @property
-    def digest_is_stale(self) -> bool:
-        """Tell whether the load has moved far from what siblings were told."""
-        return self.siblings.is_stale(self._gate.flows)
-
     def on_packet(self, frame: ToAgent, source: Address, now: float) -> None:
         """Take a caller's packet that a balancer or a sibling delivered."""
         self.outbox.count("packets.from_callers")
@@ -170,7 +143,7 @@
             return
         balancer = frame.balancer or source
         if type(packet) is Open:
-            self._on_open(_Arrival(packet, frame, balancer), now)
+            self.opening.on_open(Arrival(packet, frame, balancer), now)
         else:
             self._on_flow_packet(packet, frame.caller, balancer, now)
 
@@ -210,7 +183,7 @@
 
     def park(self) -> None:
         """Start nothing more, so that the state can be handed to a successor."""
-        self.stopping = True
+        self.opening.stopping = True
         self._parked = True
         self.requests.park()
         self.streams.park()
@@ -223,122 +196,6 @@
             self.requests.restore(flow)
             self.streams.resume(flow, now, self._gate.era)
 
-    def load_digest(self) -> LoadDigest:
-        """Return this agent's load for its siblings."""
-        self._digest_sequence += 1
-        gate = self._gate
-        self.siblings.on_own_digest(gate.flows)
-        return LoadDigest(
-            self._identity.name,
-            self._digest_sequence,
-            self._view.services_of(self._identity.name),
-            gate.running,
-            self.requests.queued,
-            gate.flows,
-            gate.limit,
-            gate.capacity,
-            gate.accepting and not self.stopping,
-        )
-
-    def issue(self, service: str, flow_id: bytes) -> bytes:
-        """Return the route token of a flow at this agent."""
-        who = self._identity
-        token = RouteToken(
-            *who.address, who.incarnation, who.data_centre, service, flow_id
-        )
-        return issue_token(token, self._keys)
-
-    def _on_open(self, arrival: _Arrival, now: float) -> None:
-        packet, frame = arrival.packet, arrival.frame
-        flow = self._flows.get(packet.flow_id)
-        if flow is not None:
-            if flow.service == packet.service:
-                flow.caller, flow.balancer = frame.caller, arrival.balancer
-                self._accept(flow, now)
-            return
-        if frame.hops == 0:
-            self.siblings.on_first_arrival()
-        reason = self._admit(arrival, now)
-        if reason is not None and not self._pass_on(arrival, full=True, now=now):
-            self._refuse(arrival, reason)
-
-    def _admit(self, arrival: _Arrival, now: float) -> RefusalReason | None:
-        """Admit or pass on a new flow; return a reason to refuse it."""
-        packet, frame = arrival.packet, arrival.frame
-        if packet.service not in self._view.services_of(self._identity.name):
-            return RefusalReason.UNKNOWN_SERVICE
-        if self.stopping:
-            return RefusalReason.DRAINING
-        if self._pass_on(arrival, full=False, now=now):
-            return None
-        reason = self._gate.admit_flow(now)
-        if reason is not None:
-            return reason
-        flow = Flow(
-            packet.flow_id,
-            packet.service,
-            self.issue(packet.service, packet.flow_id),
-            frame.caller,
-            arrival.balancer,
-            opened_at=now,
-            last_seen=now,
-        )
-        self._flows[packet.flow_id] = flow
-        self.outbox.count("flows.admitted")
-        self._note("admitted", arrival)
-        self._accept(flow, now)
-        return None
-
-    def _pass_on(self, arrival: _Arrival, full: bool, now: float) -> bool:
-        frame = arrival.frame
-        if frame.hops >= MAX_HOPS:
-            return False
-        sibling = self.siblings.choose(
-            arrival.packet.service,
-            self._gate.flows,
-            self._gate.capacity,
-            full,
-            frame.visited,
-            self._allowed_data_centres(arrival.packet.service, full),
-            now,
-        )
-        if sibling is None:
-            return False
-        visited = [*frame.visited, self._identity.name]
-        passed = ToAgent(
-            frame.caller, frame.packet, arrival.balancer, frame.hops + 1, visited
-        )
-        self.outbox.add(SendFrame(sibling.address, passed))
-        self.outbox.count("flows.passed_on")
-        self._note("passed_on", arrival, sibling=sibling.name)
-        return True
-
-    def _allowed_data_centres(self, service: str, full: bool) -> set[str] | None:
-        """Return where a flow may be passed on to; None means anywhere.
-
-        Shares are the operators' word: only a flow that would be refused here
-        leaves its data centre, and then only to one that has a share.
-        """
-        entry = self._view.services.get(service)
-        if entry is None or not entry.selector.shares:
-            return None
-        if not full:
-            return {self._identity.data_centre}
-        return {name for name, share in entry.selector.shares.items() if share > 0}
-
-    def _refuse(self, arrival: _Arrival, reason: RefusalReason) -> None:
-        self.outbox.count("flows.refused")
-        self._note("refused", arrival, reason=reason)
-        packet = arrival.packet
-        refused = Refused(
-            packet.flow_id, packet.attempt, reason, self.requests.retry_after_ms
-        )
-        self.outbox.reply(arrival.frame.caller, arrival.balancer, refused)
-
-    def _accept(self, flow: Flow, now: float) -> None:
-        accepted = Accepted(flow.flow_id, self._identity.incarnation, flow.token)
-        self.outbox.send(flow, accepted, now)
-
     def _on_flow_packet(
         self, packet: Packet, caller: Address, balancer: Address, now: float
     ) -> None:
@@ -487,24 +344,6 @@
                 self.outbox.count("flows.expired")
                 self._end_flow(flow, CloseReason.EXPIRED, now)
 
-    def _note(
-        self,
-        decision: str,
-        arrival: _Arrival,
-        reason: RefusalReason | None = None,
-        sibling: str = "",
-    ) -> None:
-        packet = arrival.packet
-        note = FlowDecision(
-            decision,
-            packet.flow_id,
-            packet.service,
-            reason,
-            sibling,
-            arrival.frame.hops,
-        )
-        self.outbox.add(note)
-
 
 def split_answer(status: int, body: bytes) -> Answered:
     """Return the outcome that holds an answer in parts."""
--- /dev/null
+++ b/src/berylturn/connection/opening.py
@@ -0,0 +1,226 @@
+"""Opening of flows at one agent: admission, passing on, refusal."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..request.execution import RequestRules
+from ..version.view import View
+from .effects import FlowDecision, SendFrame
+from .flow import Flow
+from .frames import LoadDigest, ToAgent
+from .gate import AdmissionGate
+from .keys import KeyRing
+from .outbox import Outbox
+from .packets import Accepted, Open, RefusalReason, Refused
+from .siblings import MAX_HOPS, Siblings
+from .token import RouteToken, issue_token
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True)
+class Identity:
+    """Say which agent this is; `address` is where balancers send to."""
+
+    name: str
+    data_centre: str
+    address: Address
+    incarnation: int
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """Describe one `Open` on its way: whence it came and who has had it."""
+
+    packet: Open
+    frame: ToAgent
+    balancer: Address
+
+
+class OpeningRules:
+    """Decide where a new flow stays, in the light of siblings' loads.
+
+    Parameters
+    ----------
+    identity : Identity
+        Name, address and incarnation of the agent.
+    keys : KeyRing
+        Keys of route tokens.
+    gate : AdmissionGate
+        Limits of the backend server.
+    view : View
+        Configuration known to this agent.
+    flows : dict of bytes to Flow
+        Open flows, shared with the agent's other rules.
+    requests : RequestRules
+        Asked how long a refused caller should wait.
+    outbox : Outbox
+        Takes the effects.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        keys: KeyRing,
+        gate: AdmissionGate,
+        view: View,
+        flows: dict[bytes, Flow],
+        requests: RequestRules,
+        outbox: Outbox,
+    ) -> None:
+        self._identity = identity
+        self._keys = keys
+        self._gate = gate
+        self._view = view
+        self._flows = flows
+        self._requests = requests
+        self._outbox = outbox
+        self._siblings = Siblings(identity.name)
+        self._digest_sequence = 0
+        self.stopping = False
+
+    @property
+    def siblings(self) -> Siblings:
+        """Return what is known of the siblings."""
+        return self._siblings
+
+    @property
+    def digest_is_stale(self) -> bool:
+        """Tell whether the load has moved far from what siblings were told."""
+        return self._siblings.is_stale(self._gate.flows)
+
+    def issue(self, service: str, flow_id: bytes) -> bytes:
+        """Return the route token of a flow at this agent."""
+        who = self._identity
+        token = RouteToken(
+            *who.address, who.incarnation, who.data_centre, service, flow_id
+        )
+        return issue_token(token, self._keys)
+
+    def on_open(self, arrival: Arrival, now: float) -> None:
+        """Admit, pass on or refuse a new flow; accept a known one again."""
+        packet, frame = arrival.packet, arrival.frame
+        flow = self._flows.get(packet.flow_id)
+        if flow is not None:
+            if flow.service == packet.service:
+                flow.caller, flow.balancer = frame.caller, arrival.balancer
+                self._accept(flow, now)
+            return
+        if frame.hops == 0:
+            self._siblings.on_first_arrival()
+        reason = self._admit(arrival, now)
+        if reason is not None and not self._pass_on(arrival, full=True, now=now):
+            self._refuse(arrival, reason)
+
+    def _admit(self, arrival: Arrival, now: float) -> RefusalReason | None:
+        """Admit or pass on a new flow; return a reason to refuse it."""
+        packet, frame = arrival.packet, arrival.frame
+        if packet.service not in self._view.services_of(self._identity.name):
+            return RefusalReason.UNKNOWN_SERVICE
+        if self.stopping:
+            return RefusalReason.DRAINING
+        if self._pass_on(arrival, full=False, now=now):
+            return None
+        reason = self._gate.admit_flow(now)
+        if reason is not None:
+            return reason
+        flow = Flow(
+            packet.flow_id,
+            packet.service,
+            self.issue(packet.service, packet.flow_id),
+            frame.caller,
+            arrival.balancer,
+            opened_at=now,
+            last_seen=now,
+        )
+        self._flows[packet.flow_id] = flow
+        self._outbox.count("flows.admitted")
+        self._note("admitted", arrival)
+        self._accept(flow, now)
+        return None
+
+    def _pass_on(self, arrival: Arrival, full: bool, now: float) -> bool:
+        frame = arrival.frame
+        if frame.hops >= MAX_HOPS:
+            return False
+        sibling = self._siblings.choose(
+            arrival.packet.service,
+            self._gate.flows,
+            self._gate.capacity,
+            full,
+            frame.visited,
+            self._allowed_data_centres(arrival.packet.service, full),
+            now,
+        )
+        if sibling is None:
+            return False
+        visited = [*frame.visited, self._identity.name]
+        passed = ToAgent(
+            frame.caller, frame.packet, arrival.balancer, frame.hops + 1, visited
+        )
+        self._outbox.add(SendFrame(sibling.address, passed))
+        self._outbox.count("flows.passed_on")
+        self._note("passed_on", arrival, sibling=sibling.name)
+        return True
+
+    def _allowed_data_centres(self, service: str, full: bool) -> set[str] | None:
+        """Return where a flow may be passed on to; None means anywhere.
+
+        Shares are the operators' word: only a flow that would be refused here
+        leaves its data centre, and then only to one that has a share.
+        """
+        entry = self._view.services.get(service)
+        if entry is None or not entry.selector.shares:
+            return None
+        if not full:
+            return {self._identity.data_centre}
+        return {name for name, share in entry.selector.shares.items() if share > 0}
+
+    def _refuse(self, arrival: Arrival, reason: RefusalReason) -> None:
+        self._outbox.count("flows.refused")
+        self._note("refused", arrival, reason=reason)
+        packet = arrival.packet
+        refused = Refused(
+            packet.flow_id, packet.attempt, reason, self._requests.retry_after_ms
+        )
+        self._outbox.reply(arrival.frame.caller, arrival.balancer, refused)
+
+    def _accept(self, flow: Flow, now: float) -> None:
+        accepted = Accepted(flow.flow_id, self._identity.incarnation, flow.token)
+        self._outbox.send(flow, accepted, now)
+
+    def load_digest(self) -> LoadDigest:
+        """Return this agent's load for its siblings."""
+        self._digest_sequence += 1
+        gate = self._gate
+        self._siblings.on_own_digest(gate.flows)
+        return LoadDigest(
+            self._identity.name,
+            self._digest_sequence,
+            self._view.services_of(self._identity.name),
+            gate.running,
+            self._requests.queued,
+            gate.flows,
+            gate.limit,
+            gate.capacity,
+            gate.accepting and not self.stopping,
+        )
+
+    def _note(
+        self,
+        decision: str,
+        arrival: Arrival,
+        reason: RefusalReason | None = None,
+        sibling: str = "",
+    ) -> None:
+        packet = arrival.packet
+        note = FlowDecision(
+            decision,
+            packet.flow_id,
+            packet.service,
+            reason,
+            sibling,
+            arrival.frame.hops,
+        )
+        self._outbox.add(note)
--- a/src/berylturn/connection/snapshot.py
+++ b/src/berylturn/connection/snapshot.py
@@ -144,7 +144,7 @@
     flow = Flow(
         saved.flow_id,
         saved.service,
-        rules.issue(saved.service, saved.flow_id),
+        rules.opening.issue(saved.service, saved.flow_id),
         saved.caller,
         saved.balancer,
         now,
--- a/src/berylturn/process/agent.py
+++ b/src/berylturn/process/agent.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from ..connection.admission import AgentRules, Identity, split_answer
+from ..connection.admission import AgentRules
 from ..connection.effects import (
     CancelRequest,
     Effect,
@@ -31,24 +31,21 @@
 )
 from ..connection.gate import AdmissionGate, Limits
 from ..connection.hold import hold_packet
-from ..connection.packets import RefusalReason
+from ..connection.opening import Identity
 from ..connection.snapshot import read_snapshot, restore_flows, take_snapshot
 from ..errors import (
     AuthenticationError,
-    ConnectError,
-    ConnectionBroken,
     PacketError,
-    ShedError,
 )
-from ..request.ledger import DidNotRun, MayHaveRun, Outcome
 from ..request.queue import RequestQueue
 from ..version.view import View
-from .backend import Call, HttpBackend
+from .backend import HttpBackend
 from .clock import Clock, epoch_milliseconds
 from .homes import Homes
 from .logs import LogWriter, log_event, log_warning
 from .metrics import Metrics
 from .platform import HttpPlatform
+from .runner import BackendRunner
 from .settings import AgentSettings, make_key_ring
 from .sockets import open_udp, open_udp_when_free
 from .succession import claim_snapshot, platform_answers, write_snapshot
@@ -60,8 +57,6 @@
 IDLE_SCAN_SECONDS = 5.0
 CLOSING_SECONDS = 1.5
 CLAIM_SECONDS = 30.0
-UNREACHABLE_RETRY_MS = 200
-SHED_RETRY_MS = 200
 
 
 class Agent:
@@ -88,7 +83,6 @@
             settings.peers.seeds, settings.agent.announce.total_seconds()
         )
         self._tasks = TaskGroup()
-        self._running: dict[tuple[bytes, int], asyncio.Task[None]] = {}
         self._epoch = epoch_milliseconds(clock)
         self._status = Status.ALIVE
         self._backend = HttpBackend(
@@ -101,6 +95,7 @@
         self._platform = HttpPlatform(settings.platform.url, settings.platform.timeout)
         self._rules = self._new_rules(incarnation=self._epoch)
         self._claiming = True
+        self._runner = self._new_runner()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop without cutting a request."""
@@ -135,6 +130,17 @@
             settings.agent.flow_idle.total_seconds(),
         )
 
+    def _new_runner(self) -> BackendRunner:
+        return BackendRunner(
+            self._backend,
+            self._rules,
+            self._tasks,
+            self._clock,
+            self._metrics,
+            self._apply_effects,
+            self._on_cold_sign,
+        )
+
     async def _open_sockets(self) -> None:
         listen = self._settings.listen.peers
         wait = self._settings.agent.takeover.total_seconds()
@@ -149,6 +155,7 @@
         if data is not None:
             snapshot = read_snapshot(data)
             self._rules = self._new_rules(snapshot.incarnation)
+            self._runner = self._new_runner()
             restore_flows(self._rules, snapshot, self._clock.monotonic())
             log_event("took_over", flows=len(snapshot.flows))
         self._claiming = False
@@ -183,7 +190,7 @@
             self._rules.on_packet(frame, source, now)
             self._apply_effects()
         elif isinstance(frame, LoadDigest):
-            self._rules.siblings.on_digest(frame, now)
+            self._rules.opening.siblings.on_digest(frame, now)
         elif isinstance(frame, AnnounceAck):
             self._on_announce_ack(frame)
         elif isinstance(frame, Probe):
@@ -195,7 +202,7 @@
         if ack.balancers:
             self._homes.set_balancers(ack.balancers)
         if ack.balancers or ack.siblings or ack.objects:
-            self._rules.siblings.set_members(ack.siblings)
+            self._rules.opening.siblings.set_members(ack.siblings)
             self._apply_configuration(ack)
         if ack.status >= Status.SUSPECT and ack.epoch >= self._epoch:
             self._epoch = ack.epoch + 1
@@ -223,9 +230,9 @@
         elif isinstance(effect, SendFrame):
             self._send_frame(effect.address, effect.frame)
         elif isinstance(effect, StartRequest):
-            self._start_request(effect)
+            self._runner.start(effect)
         elif isinstance(effect, CancelRequest):
-            self._tasks.spawn(self._cancel_request(effect))
+            self._tasks.spawn(self._runner.cancel(effect))
         elif isinstance(effect, ReleaseFlow):
             self._tasks.spawn(self._backend.release(effect.flow_id))
         else:
@@ -246,63 +253,6 @@
             hops=decision.hops,
         )
 
-    def _start_request(self, request: StartRequest) -> None:
-        work = self._run_stream if request.stream else self._run_request
-        key = (request.flow_id, request.number)
-        self._running[key] = self._tasks.spawn(work(request))
-
-    async def _run_request(self, request: StartRequest) -> None:
-        started = self._clock.monotonic()
-        outcome: Outcome = MayHaveRun()
-        try:
-            outcome = await self._ask_backend(request)
-        finally:
-            now = self._clock.monotonic()
-            key = (request.flow_id, request.number)
-            self._running.pop(key, None)
-            self._metrics.time("request", now - started)
-            self._rules.requests.on_finished(*key, outcome, now - started, now)
-            self._apply_effects()
-
-    async def _ask_backend(self, request: StartRequest) -> Outcome:
-        now = self._clock.monotonic()
-        call = _call(request, request.deadline - now)
-        try:
-            reply = await self._backend.run(call)
-        except ConnectError:
-            self._on_cold_sign("unreachable")
-            return DidNotRun(RefusalReason.UNREACHABLE, UNREACHABLE_RETRY_MS)
-        except ShedError:
-            self._on_cold_sign("shed")
-            return DidNotRun(RefusalReason.SHED, SHED_RETRY_MS)
-        except ConnectionBroken as error:
-            self._metrics.count("requests.unknown")
-            if isinstance(error.__cause__, TimeoutError):
-                await self._backend.cancel(request.flow_id, request.number)
-            else:
-                self._on_cold_sign("reset")
-            return MayHaveRun()
-        self._metrics.count("requests.answered")
-        return split_answer(reply.status, reply.body)
-
-    async def _run_stream(self, request: StartRequest) -> None:
-        key = (request.flow_id, request.number)
-        try:
-            async for data in self._backend.stream(_call(request, 0.0)):
-                self._rules.streams.on_data(*key, data, self._clock.monotonic())
-                self._apply_effects()
-        finally:
-            self._running.pop(key, None)
-            self._rules.streams.on_end(*key, self._clock.monotonic())
-            self._apply_effects()
-
-    async def _cancel_request(self, effect: CancelRequest) -> None:
-        task = self._running.get((effect.flow_id, effect.number))
-        if task is None:
-            return
-        await self._backend.cancel(effect.flow_id, effect.number)
-        task.cancel()
-
     def _on_backend_restart(self) -> None:
         self._on_cold_sign("restarted")
 
@@ -328,7 +278,7 @@
         self._metrics.gauge("running", gate.running)
         self._metrics.gauge("queued", self._rules.requests.queued)
         self._metrics.gauge("limit", gate.limit)
-        serving = gate.accepting and not self._rules.stopping
+        serving = gate.accepting and not self._rules.opening.stopping
         self._set_status(Status.ALIVE if serving else Status.DRAINING)
 
     def _set_status(self, status: Status) -> None:
@@ -378,13 +328,13 @@
         while True:
             await asyncio.sleep(TICK_SECONDS)
             now = self._clock.monotonic()
-            if now - sent_at >= period or self._rules.digest_is_stale:
+            if now - sent_at >= period or self._rules.opening.digest_is_stale:
                 sent_at = now
                 self._send_digest()
 
     def _send_digest(self) -> None:
-        data = seal_frame(self._rules.load_digest(), self._keys)
-        for member in self._rules.siblings.members.values():
+        data = seal_frame(self._rules.opening.load_digest(), self._keys)
+        for member in self._rules.opening.siblings.members.values():
             self._peers.sendto(data, member.address)
 
     async def _close_idle(self) -> None:
@@ -395,7 +345,7 @@
     async def _stop_serving(self) -> None:
         """Hand the flows over, or drain when that is set or not possible."""
         log_event("stopping", flows=len(self._rules.flows))
-        self._rules.stopping = True
+        self._rules.opening.stopping = True
         limit = self._settings.agent.drain_limit.total_seconds()
         deadline = self._clock.monotonic() + limit
         handing_over = self._settings.agent.stop == "hand-over"
@@ -442,14 +392,3 @@
         await asyncio.sleep(CLOSING_SECONDS)
         while self._rules.requests.unfinished:
             await asyncio.sleep(TICK_SECONDS)
-
-
-def _call(request: StartRequest, seconds: float) -> Call:
-    return Call(
-        request.flow_id,
-        request.number,
-        request.service,
-        request.body,
-        seconds,
-        request.resume_at,
-    )
--- a/src/berylturn/process/balancer.py
+++ b/src/berylturn/process/balancer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import json
+import random
 from collections.abc import Iterable
 from datetime import timedelta
 
@@ -13,7 +13,6 @@
 from ..connection.channel import ChannelAction, ChannelMonitor
 from ..connection.frames import (
     Announce,
-    ConfigObject,
     GossipAck,
     GossipPing,
     MemberState,
@@ -28,28 +27,24 @@
 )
 from ..connection.router import Drop, Forward, Placed, Reply, route_packet
 from ..errors import AuthenticationError, PacketError, PlatformError
-from ..version.selectors import BALANCER_PREFIX, CONFIG_KINDS
+from ..version.selectors import CONFIG_KINDS
 from ..version.view import View
 from .clock import Clock, epoch_milliseconds
 from .control import (
     ControlError,
-    ExplainedServer,
-    ExplainReply,
-    ExplainRequest,
-    Problem,
     PullReply,
     PullRequest,
-    StatusReply,
-    StatusRequest,
     call_control,
     start_control,
 )
+from .directory import Directory, read_directory
 from .fabric import Fabric, NoFabric, UdpFabric
+from .inspection import Inspection
 from .logs import LogWriter, log_event, log_warning
 from .membership import Membership, Send
 from .metrics import Metrics
 from .neighbours import answer_announce, describe_neighbours
-from .platform import HttpPlatform, WatchResult, write_object
+from .platform import HttpPlatform, WatchResult
 from .settings import BalancerSettings, make_key_ring
 from .sockets import open_udp
 from .tasks import TaskGroup
@@ -59,9 +54,9 @@
 TICK_SECONDS = 0.1
 FORGET_AGENT_SECONDS = 30.0
 PULL_EVERY_SECONDS = 0.5
+MEMBERS_AGREE_SECONDS = 15.0
 PLATFORM_RETRY_SECONDS = 0.5
-REGISTER_CHECK_SECONDS = 2.0
-CLEAN_SECONDS = 15.0
+MAX_PLATFORM_RETRY_SECONDS = 5.0
 FORWARD_AFTER_WITHDRAW_SECONDS = 1.5
 JOIN_SECONDS = 0.5
 
@@ -99,7 +94,10 @@
         self._news = False
         self._withdrawn = False
         self._pulled_at = -PULL_EVERY_SECONDS
-        self._directory_version = 0
+        self._members_agreed_at = -MEMBERS_AGREE_SECONDS
+        self._directory = Directory(
+            self._platform, self._view.store, self._membership, clock
+        )
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then leave without losing packets."""
@@ -123,19 +121,17 @@
             self._fabric = UdpFabric(
                 self._callers, self._settings.fabric.control, listen.callers
             )
-        handlers = {
-            "Pull": self._serve_pull,
-            "Status": self._serve_status,
-            "Explain": self._serve_explain,
-        }
+        inspection = Inspection(
+            self._settings.node, self._view, self._membership, self._metrics
+        )
+        handlers = inspection.handlers()
         return await start_control(listen.control, handlers, self._settings.tls)
 
     def _start_tasks(self) -> None:
         self._tasks.start(self._logs.run(), "logs")
         self._tasks.start(self._metrics.run(), "metrics")
         self._tasks.start(self._watch_platform(), "watch")
-        self._tasks.start(self._register(), "register")
-        self._tasks.start(self._clean_directory(), "directory")
+        self._tasks.start(self._keep_directory(), "directory")
         self._tasks.start(self._join_peers(), "join")
         self._tasks.start(self._tick_forever(), "tick")
         self._tasks.start(self._announce_to_fabric(), "fabric")
@@ -217,12 +213,15 @@
     def _after_gossip(self, frame: GossipPing | GossipAck) -> None:
         self._follow_members()
         membership = self._membership
-        same_members = frame.member_digest == membership.digest()
-        same_objects = frame.config_digest == membership.config_digest
         now = self._clock.monotonic()
+        if frame.member_digest == membership.digest():
+            self._members_agreed_at = now
+        same_objects = frame.config_digest == membership.config_digest
+        same_members = now - self._members_agreed_at < MEMBERS_AGREE_SECONDS
         due = now - self._pulled_at > PULL_EVERY_SECONDS
         if due and frame.sender.control and not (same_members and same_objects):
             self._pulled_at = now
+            self._members_agreed_at = now
             self._tasks.spawn(self._pull(frame.sender.control))
 
     def _follow_members(self) -> None:
@@ -285,14 +284,17 @@
     async def _watch_platform(self) -> None:
         revision = 0
         wait = timedelta()
+        pause = PLATFORM_RETRY_SECONDS
         while True:
             try:
                 result = await self._platform.watch(revision, wait, CONFIG_KINDS)
             except PlatformError as error:
                 self._metrics.count("platform.errors")
                 log_warning("platform_unavailable", error=str(error))
-                await asyncio.sleep(PLATFORM_RETRY_SECONDS)
+                await asyncio.sleep(pause * (0.5 + random.random()))
+                pause = min(2 * pause, MAX_PLATFORM_RETRY_SECONDS)
                 continue
+            pause = PLATFORM_RETRY_SECONDS
             revision = max(revision, result.revision)
             wait = self._settings.platform.watch
             self._take_objects(result)
@@ -308,74 +310,14 @@
                 problem=change.problem,
             )
         self._membership.config_digest = self._view.store.digest()
-        self._merge_directory(result.objects)
-        self._ready.set()
-
-    def _merge_directory(self, objects: list[ConfigObject]) -> None:
-        found = [o for o in objects if o.name.startswith(BALANCER_PREFIX) and o.body]
-        members = [_member_from_directory(o) for o in found]
         now = self._clock.monotonic()
-        self._membership.merge([m for m in members if m is not None], now)
+        self._membership.merge(read_directory(result.objects), now)
         self._follow_members()
+        self._ready.set()
 
-    async def _register(self) -> None:
-        """Write this balancer into the platform's directory."""
-        name = BALANCER_PREFIX + self._settings.node.name
-        me = self._membership.me
-        body = json.dumps(
-            {
-                "data_centre": me.data_centre,
-                "peers": list(me.address),
-                "control": me.control,
-                "epoch": me.epoch,
-            }
-        ).encode()
+    async def _keep_directory(self) -> None:
         await self._ready.wait()
-        while True:
-            listed = self._live_version(name) >= max(self._directory_version, 1)
-            if not listed and not self._withdrawn:
-                await self._put_registration(name, body)
-            await asyncio.sleep(REGISTER_CHECK_SECONDS)
-
-    async def _put_registration(self, name: str, body: bytes) -> None:
-        try:
-            self._directory_version = await write_object(self._platform, name, body)
-        except PlatformError as error:
-            log_warning("registration_failed", error=str(error))
-
-    async def _clean_directory(self) -> None:
-        """Delete the entries of dead balancers, at one of the live ones."""
-        while True:
-            await asyncio.sleep(CLEAN_SECONDS)
-            live = self._membership.live(Role.BALANCER)
-            if min(m.name for m in live) != self._membership.me.name:
-                continue
-            for name, version in self._dead_entries():
-                await self._delete_entry(name, version)
-
-    def _dead_entries(self) -> list[tuple[str, int]]:
-        members = self._membership.members
-        entries = [
-            (item.name, item.version)
-            for item in self._view.store
-            if item.name.startswith(BALANCER_PREFIX) and item.body is not None
-        ]
-        return [
-            (name, version)
-            for name, version in entries
-            if (member := members.get(name.removeprefix(BALANCER_PREFIX)))
-            and member.status == Status.DEAD
-        ]
-
-    async def _delete_entry(self, name: str, version: int) -> None:
-        try:
-            await self._platform.delete(name, version)
-        except PlatformError as error:
-            log_warning("directory_not_cleaned", error=str(error))
-
-    def _live_version(self, name: str) -> int:
-        known = self._view.store.get(name)
-        return known.version if known is not None and known.body is not None else 0
+        await self._directory.run()
 
     async def _join_peers(self) -> None:
         """Learn members and configuration from seeds, platform up or not."""
@@ -419,50 +361,11 @@
         log_event("leaving")
         self._withdrawn = True
         self._fabric.withdraw()
-        if self._directory_version:
-            name = BALANCER_PREFIX + self._settings.node.name
-            self._tasks.spawn(self._delete_entry(name, self._directory_version))
+        self._tasks.spawn(self._directory.withdraw())
         await asyncio.sleep(FORWARD_AFTER_WITHDRAW_SECONDS)
         self._send_all(self._membership.leave(self._clock.monotonic()))
         self._follow_members()
 
-    async def _serve_pull(self, request: PullRequest) -> PullReply:
-        store = self._view.store
-        differing = _differing(request.object_buckets, store.bucket_digests())
-        objects = store.in_buckets(differing)
-        differing = _differing(
-            request.member_buckets, self._membership.bucket_digests()
-        )
-        return PullReply(objects, self._membership.bucket_members(differing))
-
-    async def _serve_status(self, request: StatusRequest) -> StatusReply:
-        view = self._view
-        problems = [
-            Problem(p.name, p.version, p.problem) for p in view.problems.values()
-        ]
-        return StatusReply(
-            self._settings.node.name,
-            self._settings.node.data_centre,
-            view.store.version(request.name),
-            problems,
-            self._membership.live(Role.BALANCER),
-            list(view.agents.values()),
-            {name: sorted(s.servers) for name, s in view.services.items()},
-            self._metrics.totals,
-        )
-
-    async def _serve_explain(self, request: ExplainRequest) -> ExplainReply:
-        service = self._view.services.get(request.service)
-        if service is None:
-            return ExplainReply(request.service, False, "", 0, [])
-        servers = [
-            ExplainedServer(e.name, e.data_centre, e.share, e.verdict)
-            for e in self._view.explain(request.service)
-        ]
-        return ExplainReply(
-            request.service, True, service.selector.address, service.version, servers
-        )
-
 
 def _new_membership(settings: BalancerSettings, clock: Clock) -> Membership:
     listen = settings.listen
@@ -476,23 +379,3 @@
         f"{listen.control[0]}:{listen.control[1]}",
     )
     return Membership(me, clock.monotonic(), seed=me.epoch)
-
-
-def _member_from_directory(item: ConfigObject) -> MemberState | None:
-    try:
-        body = json.loads(item.body or b"")
-        return MemberState(
-            item.name.removeprefix(BALANCER_PREFIX),
-            Role.BALANCER,
-            body["data_centre"],
-            (body["peers"][0], body["peers"][1]),
-            body["epoch"],
-            Status.ALIVE,
-            body["control"],
-        )
-    except (ValueError, KeyError, IndexError, TypeError):
-        return None
-
-
-def _differing(theirs: list[int], ours: list[int]) -> set[int]:
-    return {i for i, value in enumerate(ours) if theirs[i : i + 1] != [value]}
--- /dev/null
+++ b/src/berylturn/process/runner.py
@@ -0,0 +1,128 @@
+"""Tasks that run requests and streams on the backend server."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from ..connection.admission import AgentRules, split_answer
+from ..connection.effects import CancelRequest, StartRequest
+from ..connection.packets import RefusalReason
+from ..errors import ConnectError, ConnectionBroken, ShedError
+from ..request.ledger import DidNotRun, MayHaveRun, Outcome
+from .backend import Backend, Call
+from .clock import Clock
+from .metrics import Metrics
+from .tasks import TaskGroup
+
+UNREACHABLE_RETRY_MS = 200
+SHED_RETRY_MS = 200
+
+
+class BackendRunner:
+    """Run what the rules ask for and tell them how it ended.
+
+    Parameters
+    ----------
+    backend : Backend
+        Adapter of the backend server.
+    rules : AgentRules
+        Told of outcomes and data.
+    tasks : TaskGroup
+        Owner of the tasks.
+    clock, metrics : Clock, Metrics
+        Source of time, and sink of timers and counters.
+    apply : callable
+        Carries out the effects of the rules.
+    note_cold : callable
+        Told of each sign of a cold start, with its reason.
+    """
+
+    def __init__(
+        self,
+        backend: Backend,
+        rules: AgentRules,
+        tasks: TaskGroup,
+        clock: Clock,
+        metrics: Metrics,
+        apply: Callable[[], None],
+        note_cold: Callable[[str], None],
+    ) -> None:
+        self._backend = backend
+        self._rules = rules
+        self._tasks = tasks
+        self._clock = clock
+        self._metrics = metrics
+        self._apply = apply
+        self._note_cold = note_cold
+        self._running: dict[tuple[bytes, int], asyncio.Task[None]] = {}
+
+    def start(self, request: StartRequest) -> None:
+        """Run one request or stream in a task of its own."""
+        work = self._run_stream if request.stream else self._run_request
+        key = (request.flow_id, request.number)
+        self._running[key] = self._tasks.spawn(work(request))
+
+    async def _run_request(self, request: StartRequest) -> None:
+        started = self._clock.monotonic()
+        outcome: Outcome = MayHaveRun()
+        try:
+            outcome = await self._ask_backend(request)
+        finally:
+            now = self._clock.monotonic()
+            key = (request.flow_id, request.number)
+            self._running.pop(key, None)
+            self._metrics.time("request", now - started)
+            self._rules.requests.on_finished(*key, outcome, now - started, now)
+            self._apply()
+
+    async def _ask_backend(self, request: StartRequest) -> Outcome:
+        now = self._clock.monotonic()
+        call = _call(request, request.deadline - now)
+        try:
+            reply = await self._backend.run(call)
+        except ConnectError:
+            self._note_cold("unreachable")
+            return DidNotRun(RefusalReason.UNREACHABLE, UNREACHABLE_RETRY_MS)
+        except ShedError:
+            self._note_cold("shed")
+            return DidNotRun(RefusalReason.SHED, SHED_RETRY_MS)
+        except ConnectionBroken as error:
+            self._metrics.count("requests.unknown")
+            if isinstance(error.__cause__, TimeoutError):
+                await self._backend.cancel(request.flow_id, request.number)
+            else:
+                self._note_cold("reset")
+            return MayHaveRun()
+        self._metrics.count("requests.answered")
+        return split_answer(reply.status, reply.body)
+
+    async def _run_stream(self, request: StartRequest) -> None:
+        key = (request.flow_id, request.number)
+        try:
+            async for data in self._backend.stream(_call(request, 0.0)):
+                self._rules.streams.on_data(*key, data, self._clock.monotonic())
+                self._apply()
+        finally:
+            self._running.pop(key, None)
+            self._rules.streams.on_end(*key, self._clock.monotonic())
+            self._apply()
+
+    async def cancel(self, effect: CancelRequest) -> None:
+        """Withdraw a request at the backend server, then free its slot."""
+        task = self._running.get((effect.flow_id, effect.number))
+        if task is None:
+            return
+        await self._backend.cancel(effect.flow_id, effect.number)
+        task.cancel()
+
+
+def _call(request: StartRequest, seconds: float) -> Call:
+    return Call(
+        request.flow_id,
+        request.number,
+        request.service,
+        request.body,
+        seconds,
+        request.resume_at,
+    )
--- a/src/berylturn/process/settings.py
+++ b/src/berylturn/process/settings.py
@@ -1,174 +1,161 @@
-"""Settings files: INI text, validated before anything starts."""
+"""Settings files: INI text, validated before anything starts.
+
+msgspec validates instead of pydantic, which would take 11 MB of a daemon's 32 MB
+(docs/CAPACITY.md).
+"""
 
 from __future__ import annotations
 
 import configparser
+from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, get_type_hints
 
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
+import msgspec
+from msgspec import Meta
 
 from ..connection.keys import KeyRing, parse_key
 from ..errors import SettingsError
 
 Address = tuple[str, int]
+Name = Annotated[str, Meta(min_length=1, max_length=63, description="unique name")]
 
 
-def parse_address(text: str) -> Address:
-    """Read ``IP:PORT``."""
-    host, _, port = str(text).strip().rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65_535:
-        raise ValueError(f"{text!r} is not IP:PORT")
-    return host, int(port)
-
-
-def parse_addresses(text: str) -> list[Address]:
-    """Read ``IP:PORT`` items separated by commas."""
-    return [parse_address(part) for part in str(text).split(",") if part.strip()]
-
-
-def parse_duration(text: str) -> timedelta:
-    """Read a number with its unit: ``250ms``, ``2s`` or ``5m``."""
-    units = {"ms": 0.001, "s": 1.0, "m": 60.0}
-    value = str(text).strip()
-    number = value.rstrip("ms")
-    unit = value[len(number) :]
-    try:
-        return timedelta(seconds=float(number) * units[unit])
-    except (ValueError, KeyError):
-        raise ValueError(f"{text!r} is not a time; write 250ms, 2s or 5m") from None
-
-
-AddressField = Annotated[Address, BeforeValidator(parse_address)]
-AddressesField = Annotated[list[Address], BeforeValidator(parse_addresses)]
-DurationField = Annotated[timedelta, BeforeValidator(parse_duration)]
-
-
-class _Section(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
+class _Section(msgspec.Struct, frozen=True, kw_only=True):
+    """Base of all sections."""
 
 
 class NodeSection(_Section):
     """Who this process is."""
 
-    name: str = Field(min_length=1, max_length=63, description="unique name")
-    data_centre: str = Field(min_length=1, max_length=63, description="data centre")
+    name: Name
+    data_centre: Annotated[
+        str, Meta(min_length=1, max_length=63, description="data centre")
+    ]
 
 
 class KeysSection(_Section):
     """Secrets shared by all daemons."""
 
-    current: str = Field(description="ID:HEX of the key that signs")
-    previous: str = Field("", description="ID:HEX of a key still accepted")
+    current: Annotated[str, Meta(description="ID:HEX of the key that signs")]
+    previous: Annotated[str, Meta(description="ID:HEX of a key still accepted")] = ""
 
 
 class PlatformSection(_Section):
     """The platform's object API."""
 
-    url: str = Field(description="http://IP:PORT of the object API")
-    timeout: DurationField = Field(
-        timedelta(seconds=8), description="longest wait for an answer"
+    url: Annotated[str, Meta(description="http://IP:PORT of the object API")]
+    timeout: Annotated[timedelta, Meta(description="longest wait for an answer")] = (
+        timedelta(seconds=8)
     )
-    watch: DurationField = Field(
-        timedelta(seconds=30), description="length of one waiting watch"
+    watch: Annotated[timedelta, Meta(description="length of one waiting watch")] = (
+        timedelta(seconds=30)
     )
 
 
 class LogsSection(_Section):
     """JSON-line logs."""
 
-    file: str = Field("-", description="path, or - for standard output")
-    level: str = Field("INFO", description="DEBUG, INFO, WARNING or ERROR")
+    file: Annotated[str, Meta(description="path, or - for standard output")] = "-"
+    level: Annotated[
+        Literal["DEBUG", "INFO", "WARNING", "ERROR"],
+        Meta(description="lowest level that is written"),
+    ] = "INFO"
 
 
 class MetricsSection(_Section):
     """Metrics by statsd."""
 
-    statsd: AddressField | None = Field(None, description="IP:PORT; off without it")
+    statsd: Annotated[Address | None, Meta(description="IP:PORT; off without it")] = (
+        None
+    )
 
 
 class PeersSection(_Section):
     """Where to find the first balancers."""
 
-    seeds: AddressesField = Field(
-        default_factory=list, description="IP:PORT of some balancers' peer sockets"
-    )
+    seeds: Annotated[
+        list[Address], Meta(description="IP:PORT of some balancers' peer sockets")
+    ] = msgspec.field(default_factory=list)
 
 
 class TlsSection(_Section):
     """Certificates of the control service."""
 
-    certificate: str = Field("", description="PEM file of the certificate chain")
-    key: str = Field("", description="PEM file of the private key")
-    authority: str = Field("", description="PEM file of the authority of the peers")
+    certificate: Annotated[str, Meta(description="PEM file of the certificate")] = ""
+    key: Annotated[str, Meta(description="PEM file of the private key")] = ""
+    authority: Annotated[str, Meta(description="PEM file of the peers' authority")] = ""
 
 
 class BalancerListenSection(_Section):
     """Sockets of a balancer."""
 
-    callers: AddressField = Field(description="IP:PORT for packets from the fabric")
-    peers: AddressField = Field(description="IP:PORT for frames of other daemons")
-    control: AddressField = Field(description="IP:PORT of the control service")
-    advertise: AddressField | None = Field(
-        None, description="IP:PORT that others use for `peers`, if different"
-    )
+    callers: Annotated[Address, Meta(description="IP:PORT for packets from the fabric")]
+    peers: Annotated[Address, Meta(description="IP:PORT for frames of other daemons")]
+    control: Annotated[Address, Meta(description="IP:PORT of the control service")]
+    advertise: Annotated[
+        Address | None, Meta(description="IP:PORT that others use, if different")
+    ] = None
 
 
 class FabricSection(_Section):
     """The fabric in front of the balancers."""
 
-    control: AddressField | None = Field(
-        None, description="IP:PORT that takes announcements of this entry host"
-    )
-    period: DurationField = Field(
-        timedelta(milliseconds=300), description="time between announcements"
+    control: Annotated[
+        Address | None, Meta(description="IP:PORT that takes announcements")
+    ] = None
+    period: Annotated[timedelta, Meta(description="time between announcements")] = (
+        timedelta(milliseconds=300)
     )
 
 
 class AgentListenSection(_Section):
     """Socket of an agent."""
 
-    peers: AddressField = Field(description="IP:PORT for frames of other daemons")
-    advertise: AddressField | None = Field(
-        None, description="IP:PORT that others use for `peers`, if different"
-    )
+    peers: Annotated[Address, Meta(description="IP:PORT for frames of other daemons")]
+    advertise: Annotated[
+        Address | None, Meta(description="IP:PORT that others use, if different")
+    ] = None
 
 
 class BackendSection(_Section):
     """The backend server beside the agent."""
 
-    url: str = Field(description="http://IP:PORT of the backend server")
-    connect_timeout: DurationField = Field(
-        timedelta(milliseconds=500), description="longest wait for a connection"
-    )
-    idle: DurationField = Field(
-        timedelta(seconds=60), description="an unused connection is closed after this"
-    )
+    url: Annotated[str, Meta(description="http://IP:PORT of the backend server")]
+    connect_timeout: Annotated[
+        timedelta, Meta(description="longest wait for a connection")
+    ] = timedelta(milliseconds=500)
+    idle: Annotated[
+        timedelta, Meta(description="an unused connection is closed after this")
+    ] = timedelta(seconds=60)
 
 
 class AgentSection(_Section):
     """Periods and bounds of an agent."""
 
-    announce: DurationField = Field(
-        timedelta(seconds=1), description="time between announcements"
-    )
-    digest: DurationField = Field(
-        timedelta(milliseconds=250), description="time between load digests"
-    )
-    queue: int = Field(32, ge=0, le=10_000, description="requests that may wait")
-    flow_idle: DurationField = Field(
-        timedelta(seconds=30), description="a silent flow is closed after this"
-    )
-    stop: Literal["hand-over", "drain"] = Field(
-        "hand-over", description="planned stop: hand flows to a successor, or drain"
+    announce: Annotated[timedelta, Meta(description="time between announcements")] = (
+        timedelta(seconds=1)
     )
-    takeover: DurationField = Field(
-        timedelta(0), description="longest wait for a predecessor to free the port"
-    )
-    drain_limit: DurationField = Field(
-        timedelta(seconds=60), description="longest wait for flows at a planned stop"
+    digest: Annotated[timedelta, Meta(description="time between load digests")] = (
+        timedelta(milliseconds=250)
     )
+    queue: Annotated[
+        int, Meta(ge=0, le=10_000, description="requests that may wait")
+    ] = 32
+    flow_idle: Annotated[
+        timedelta, Meta(description="a silent flow is closed after this")
+    ] = timedelta(seconds=30)
+    stop: Annotated[
+        Literal["hand-over", "drain"],
+        Meta(description="planned stop: hand flows to a successor, or drain"),
+    ] = "hand-over"
+    takeover: Annotated[
+        timedelta, Meta(description="longest wait for a predecessor to free the port")
+    ] = timedelta(0)
+    drain_limit: Annotated[
+        timedelta, Meta(description="longest wait for flows at a planned stop")
+    ] = timedelta(seconds=60)
 
 
 class BalancerSettings(_Section):
@@ -199,14 +186,14 @@
     metrics: MetricsSection = MetricsSection()
 
 
-def read_settings(path: str, model: type[BaseModel]) -> Any:
+def read_settings(path: str, model: type[Any]) -> Any:
     """Return the validated settings in an INI file or raise `SettingsError`."""
     sections = read_sections(path)
-    try:
-        return model.model_validate(sections)
-    except ValidationError as error:
-        problems = "; ".join(_explain_problem(item) for item in error.errors())
-        raise SettingsError(f"{path}: {problems}") from error
+    problems: list[str] = []
+    values = _read_fields(model, sections, "", problems, _read_section)
+    if problems:
+        raise SettingsError(f"{path}: {'; '.join(problems)}")
+    return model(**values)
 
 
 def read_sections(path: str) -> dict[str, dict[str, str]]:
@@ -221,7 +208,7 @@
     return {name: dict(parser[name]) for name in parser.sections()}
 
 
-def guess_model(sections: dict[str, dict[str, str]]) -> type[BaseModel]:
+def guess_model(sections: dict[str, dict[str, str]]) -> type[Any]:
     """Return the model that fits the sections of a file."""
     return AgentSettings if "backend" in sections else BalancerSettings
 
@@ -232,22 +219,91 @@
     return KeyRing(parse_key(section.current), previous)
 
 
-def explain_settings(settings: BaseModel) -> list[str]:
+def explain_settings(settings: Any) -> list[str]:
     """Return one line for each key: its value and its meaning."""
     lines = []
-    for section_name in type(settings).model_fields:
+    for section_name in settings.__struct_fields__:
         section = getattr(settings, section_name)
+        hints = get_type_hints(type(section), include_extras=True)
         lines.append(f"[{section_name}]")
-        for key, info in type(section).model_fields.items():
+        for key in section.__struct_fields__:
             value = "(secret)" if section_name == "keys" else getattr(section, key)
-            lines.append(f"  {key} = {value}  ; {info.description}")
+            (meta,) = hints[key].__metadata__
+            lines.append(f"  {key} = {value}  ; {meta.description}")
     return lines
 
 
-def _explain_problem(item: dict[str, Any]) -> str:
-    where = ".".join(str(part) for part in item["loc"])
-    if item["type"] == "extra_forbidden":
-        return f"{where}: unknown key; remove it or see the sample file"
-    if item["type"] == "missing":
-        return f"{where}: missing; add it"
-    return f"{where}: {item['msg']}"
+def parse_address(text: str) -> Address:
+    """Read ``IP:PORT``."""
+    host, _, port = str(text).strip().rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65_535:
+        raise ValueError(f"{text!r} is not IP:PORT")
+    return host, int(port)
+
+
+def parse_addresses(text: str) -> list[Address]:
+    """Read ``IP:PORT`` items separated by commas."""
+    return [parse_address(part) for part in str(text).split(",") if part.strip()]
+
+
+def parse_duration(text: str) -> timedelta:
+    """Read a number with its unit: ``250ms``, ``2s`` or ``5m``."""
+    units = {"ms": 0.001, "s": 1.0, "m": 60.0}
+    value = str(text).strip()
+    number = value.rstrip("ms")
+    unit = value[len(number) :]
+    try:
+        return timedelta(seconds=float(number) * units[unit])
+    except (ValueError, KeyError):
+        raise ValueError(f"{text!r} is not a time; write 250ms, 2s or 5m") from None
+
+
+_PARSERS: dict[Any, Callable[[str], Any]] = {
+    Address: parse_address,
+    Address | None: parse_address,
+    list[Address]: parse_addresses,
+    timedelta: parse_duration,
+}
+
+_ReadValue = Callable[[Any, Any, str, list[str]], Any]
+
+
+def _read_fields(
+    model: type[Any],
+    raw: dict[str, Any],
+    prefix: str,
+    problems: list[str],
+    read_value: _ReadValue,
+) -> dict[str, Any]:
+    """Return the values of a struct's fields; note what is wrong in `problems`."""
+    hints = get_type_hints(model, include_extras=True)
+    for name in sorted(set(raw) - set(hints)):
+        problems.append(f"{prefix}{name}: unknown key; remove it or see the samples")
+    values = {}
+    for field in msgspec.structs.fields(model):
+        if field.name in raw:
+            where = prefix + field.name
+            value = read_value(hints[field.name], raw[field.name], where, problems)
+            values[field.name] = value
+        elif field.required:
+            problems.append(f"{prefix}{field.name}: missing; add it")
+    return values
+
+
+def _read_section(
+    model: Any, raw: dict[str, str], where: str, problems: list[str]
+) -> Any:
+    before = len(problems)
+    values = _read_fields(model, raw, where + ".", problems, _read_key)
+    return model(**values) if len(problems) == before else None
+
+
+def _read_key(hint: Any, text: str, where: str, problems: list[str]) -> Any:
+    parse = _PARSERS.get(hint.__origin__)
+    try:
+        if parse is not None:
+            return parse(text)
+        return msgspec.convert(text, hint, strict=False)
+    except (ValueError, msgspec.ValidationError) as error:
+        problems.append(f"{where}: {error}")
+        return None
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -15,7 +15,7 @@
     rule,
 )
 
-from berylturn.connection.admission import AgentRules, Identity, split_answer
+from berylturn.connection.admission import AgentRules, split_answer
 from berylturn.connection.effects import SendToCaller, StartRequest
 from berylturn.connection.frames import (
     ConfigObject,
@@ -28,6 +28,7 @@
 )
 from berylturn.connection.gate import AdmissionGate, Limits
 from berylturn.connection.keys import KeyRing, parse_key
+from berylturn.connection.opening import Identity
 from berylturn.connection.packets import (
     Accepted,
     AnswerPart,
