--- a/src/berylturn/cli.py
+++ b/src/berylturn/cli.py
@@ -7,7 +7,6 @@
 import json
 import os
 import sys
-import time
 from collections.abc import Coroutine
 from datetime import timedelta
 from pathlib import Path
@@ -17,6 +16,7 @@
 import msgspec
 
 from .errors import BerylturnError, ObjectNotFound, SelectorError, SettingsError
+from .process.clock import SystemClock
 from .process.control import (
     ControlError,
     ExplainReply,
@@ -39,6 +39,7 @@
     parse_selector,
 )
 
+CLOCK = SystemClock()
 PLATFORM_VARIABLE = "BERYLTURN_PLATFORM"
 TIMEOUT = timedelta(seconds=5)
 WAIT_SECONDS = 15.0
@@ -86,12 +87,12 @@
 
         A balancer that does not answer and that no other holds alive is left out.
         """
-        deadline = time.monotonic() + WAIT_SECONDS
+        deadline = CLOCK.monotonic() + WAIT_SECONDS
         while True:
             behind = await self._behind(name, version)
             if not behind:
                 return
-            if time.monotonic() > deadline:
+            if CLOCK.monotonic() > deadline:
                 raise NotInForce(
                     f"{name} version {version} is accepted but not in force at "
                     f"{'; '.join(behind)}"
--- a/src/berylturn_standins/backend.py
+++ b/src/berylturn_standins/backend.py
@@ -6,14 +6,17 @@
 import collections
 import hashlib
 import json
-import time
 from dataclasses import dataclass
 
 import fire
 from aiohttp import web
 
+from berylturn.process.clock import SystemClock
+
 from .serving import run_until_signal, serve_http
 
+CLOCK = SystemClock()
+
 COLD_SLOWDOWN = 2.0
 FALL_OVER_SECONDS = 0.5
 STREAM_KEEPALIVE_SECONDS = 0.5
@@ -53,7 +56,7 @@
 
     def __init__(self, shape: Shape) -> None:
         self._shape = shape
-        self._cold_until = time.monotonic() + shape.cold_seconds
+        self._cold_until = CLOCK.monotonic() + shape.cold_seconds
         self._running = 0
         self._tasks: dict[str, asyncio.Task] = {}
         self._runner: web.AppRunner | None = None
@@ -68,7 +71,7 @@
         self.cancelled = 0
         self.flows: set[str] = set()
         self._busy_seconds = 0.0
-        self._busy_since = time.monotonic()
+        self._busy_since = CLOCK.monotonic()
 
     async def start(self, host: str, port: int) -> web.AppRunner:
         """Start to listen."""
@@ -87,7 +90,7 @@
     @property
     def cold(self) -> bool:
         """Tell whether the server is in cold start."""
-        return time.monotonic() < self._cold_until
+        return CLOCK.monotonic() < self._cold_until
 
     async def _request(self, request: web.Request) -> web.Response:
         if self._down or self._too_many_connections():
@@ -127,7 +130,7 @@
             self._change_running(-1)
 
     def _change_running(self, change: int) -> None:
-        now = time.monotonic()
+        now = CLOCK.monotonic()
         self._busy_seconds += self._running * (now - self._busy_since)
         self._busy_since = now
         self._running += change
@@ -171,7 +174,7 @@
         return web.json_response({"status": "well"})
 
     async def _load(self, _request: web.Request) -> web.Response:
-        now = time.monotonic()
+        now = CLOCK.monotonic()
         self._lagging.append((now, self._running))
         while len(self._lagging) > 1 and now - self._lagging[1][0] > LAG_SECONDS:
             self._lagging.popleft()
@@ -205,7 +208,7 @@
 
     def _reset(self) -> None:
         """Act out a crash and a new start: all connections end, work is lost."""
-        self._cold_until = time.monotonic() + self._shape.cold_seconds
+        self._cold_until = CLOCK.monotonic() + self._shape.cold_seconds
         for task in self._tasks.values():
             task.cancel()
         for handler in list(self._runner.server.connections):
--- a/src/berylturn_standins/demo.py
+++ b/src/berylturn_standins/demo.py
@@ -5,12 +5,12 @@
 import asyncio
 import json
 import sys
-import time
 from collections import Counter
 
 import fire
 
 from berylturn.caller import Caller
+from berylturn.process.clock import SystemClock
 
 from .deployment import BalancerPlan, Deployment, Plan, ServerPlan
 from .load import (
@@ -22,6 +22,8 @@
     run_session,
 )
 
+CLOCK = SystemClock()
+
 SERVICE = "booking"
 FLOWS = 100
 REQUESTS_PER_FLOW = 10
@@ -47,7 +49,7 @@
 
 async def run_demo(loss: float) -> dict:
     """Run the demo and return its figures."""
-    started = time.monotonic()
+    started = CLOCK.monotonic()
     async with Deployment(build_plan(loss)) as deployment:
         say("processes are up; applying labels and a selector")
         await deployment.apply_labels()
@@ -71,7 +73,7 @@
         "doubled": count_doubled(executions, tally),
         "stream_items": stream.items,
         "stream_gaps": stream.gaps,
-        "seconds": round(time.monotonic() - started, 1),
+        "seconds": round(CLOCK.monotonic() - started, 1),
     }
 
 
--- a/src/berylturn_standins/deployment.py
+++ b/src/berylturn_standins/deployment.py
@@ -11,13 +11,14 @@
 import socket
 import sys
 import tempfile
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import aiohttp
 
+from berylturn.process.clock import SystemClock
+
 KEY = "1:000102030405060708090a0b0c0d0e0f"
 START_SECONDS = 20.0
 STOP_SECONDS = 10.0
@@ -33,6 +34,8 @@
     ]
 )
 
+CLOCK = SystemClock()
+
 
 class DeploymentError(Exception):
     """Raise when a process does not start or an awaited state is not reached."""
@@ -336,9 +339,9 @@
         seconds: float = START_SECONDS,
     ) -> None:
         """Wait until a condition holds."""
-        deadline = time.monotonic() + seconds
+        deadline = CLOCK.monotonic() + seconds
         while not await condition():
-            if time.monotonic() > deadline:
+            if CLOCK.monotonic() > deadline:
                 raise DeploymentError(f"not reached in {seconds} s: {what}")
             await asyncio.sleep(POLL_SECONDS)
 
--- a/src/berylturn_standins/fabric.py
+++ b/src/berylturn_standins/fabric.py
@@ -4,18 +4,20 @@
 
 import asyncio
 import random
-import time
 
 import fire
 import msgspec
 from aiohttp import web
 
+from berylturn.process.clock import SystemClock
 from berylturn.process.fabric import FabricMessage
 from berylturn.process.sockets import open_udp
 
 from .faults import FaultyLink, LinkFaults
 from .serving import run_until_signal, serve_http, split_address
 
+CLOCK = SystemClock()
+
 Address = tuple[str, int]
 
 HOLD_SECONDS = 1.0
@@ -64,7 +66,7 @@
         message = self._decoder.decode(data)
         address = (message.host, message.port)
         if message.up:
-            self._balancers[address] = time.monotonic()
+            self._balancers[address] = CLOCK.monotonic()
         else:
             self._balancers.pop(address, None)
 
@@ -94,7 +96,7 @@
             self._spray(transport, data)
 
     def _spray(self, transport: asyncio.DatagramTransport, data: bytes) -> None:
-        oldest = time.monotonic() - HOLD_SECONDS
+        oldest = CLOCK.monotonic() - HOLD_SECONDS
         live = [a for a, heard in self._balancers.items() if heard >= oldest]
         self.packets += 1
         if not live:
@@ -113,7 +115,7 @@
         return web.json_response({"silenced": len(self._silent)})
 
     async def _stats(self, _request: web.Request) -> web.Response:
-        oldest = time.monotonic() - HOLD_SECONDS
+        oldest = CLOCK.monotonic() - HOLD_SECONDS
         live = sum(heard >= oldest for heard in self._balancers.values())
         return web.json_response(
             {
--- a/src/berylturn_standins/load.py
+++ b/src/berylturn_standins/load.py
@@ -5,16 +5,18 @@
 import asyncio
 import json
 import random
-import time
 from collections import Counter
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from berylturn.caller import Caller, Session
 from berylturn.errors import NotRun, OutcomeUnknown
+from berylturn.process.clock import SystemClock
 
 from .backend import answer_body
 
+CLOCK = SystemClock()
+
 
 @dataclass
 class Tally:
@@ -68,7 +70,7 @@
     tally.requests += 1
     if not plan.repeatable:
         tally.not_repeatable.append(plan.request_id)
-    started = time.monotonic()
+    started = CLOCK.monotonic()
     try:
         answer = await session.request(plan.body(service), plan.repeatable, deadline)
     except NotRun as error:
@@ -79,7 +81,7 @@
         tally.unknown.append(plan.request_id)
         tally.problems.append(f"{plan.request_id}: {error}")
         return
-    tally.latencies.append(time.monotonic() - started)
+    tally.latencies.append(CLOCK.monotonic() - started)
     tally.answered += 1
     tally.answered_ids.append(plan.request_id)
     if answer.body != answer_body(plan.request_id, plan.size):
@@ -140,7 +142,7 @@
     last = None
     try:
         async for data in session.stream(body):
-            now = time.monotonic()
+            now = CLOCK.monotonic()
             if last is not None:
                 tally.longest_gap = max(tally.longest_gap, now - last)
             last = now
--- a/src/berylturn_standins/platform.py
+++ b/src/berylturn_standins/platform.py
@@ -4,14 +4,17 @@
 
 import asyncio
 import collections
-import time
 from dataclasses import dataclass
 
 import fire
 from aiohttp import web
 
+from berylturn.process.clock import SystemClock
+
 from .serving import run_until_signal, serve_http
 
+CLOCK = SystemClock()
+
 
 @dataclass
 class StoredObject:
@@ -83,7 +86,7 @@
         if request.path.startswith("/_"):
             return await handler(request)
         self._calls[request.method + " " + request.path.split("/")[1]] += 1
-        self._recent.append(time.monotonic())
+        self._recent.append(CLOCK.monotonic())
         if self.switches.outage:
             raise web.HTTPServiceUnavailable()
         try:
@@ -177,7 +180,7 @@
         return web.json_response({})
 
     async def _stats(self, _request: web.Request) -> web.Response:
-        since = time.monotonic() - 1.0
+        since = CLOCK.monotonic() - 1.0
         rate = sum(1 for moment in self._recent if moment >= since)
         return web.json_response(
             {"calls": self._calls, "rate": rate, "revision": self._revision}
