Wait for a platform that is down with pauses, and not for long

Cause: an agent that stopped while the platform was down asked it again without a pause; one that started then kept callers waiting for 30 s. Certificates and a taken control port ended in a bare traceback. Change: a pause of 0.5 s, at most 3 s of waiting when the platform is down (30 s when it is slow), typed errors with remedies; a picture over time of a measurement (PLOT=run.png).

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 SEED ?= 1
 
 measure: setup
-	$(BIN)/python -m bench.measure --shape=$(SHAPE) --scenario=$(SCENARIO) --policy=$(POLICY) --seed=$(SEED)
+	$(BIN)/python -m bench.measure --shape=$(SHAPE) --scenario=$(SCENARIO) --policy=$(POLICY) --seed=$(SEED) $(if $(PLOT),--plot=$(PLOT))
 
 measure-all: setup
 	$(BIN)/python -m bench.measure_all
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -47,6 +47,7 @@
 from berylturn_standins.statsd import StatsdStandIn
 
 from .baseline import VARIABLE
+from .plot import Timeline, draw_timeline
 
 CALLERS = 8
 CALLER_DELAY_MS = 3.0
@@ -100,6 +101,11 @@
     streams: list[StreamTally] = field(default_factory=list)
     sessions: list[Session] = field(default_factory=list)
 
+    @property
+    def broken_flows(self) -> int:
+        """Return the flows that the system has ended."""
+        return sum(sum(s.endings.values()) for s in self.sessions)
+
 
 def build_plan(shape: Shape, policy: str, seed: int, statsd_port: int) -> Plan:
     """Return the deployment of one user."""
@@ -258,10 +264,13 @@
 class ImbalanceMeter:
     """Sample how busy each backend server is, in windows of one second."""
 
-    def __init__(self, deployment: Deployment, service: str) -> None:
+    def __init__(self, deployment: Deployment, result: Result) -> None:
         self._deployment = deployment
-        self._servers = [s for s in deployment.plan.servers if s.service == service]
-        self.windows: list[dict[str, float]] = []
+        self._result = result
+        self._servers = [
+            s for s in deployment.plan.servers if s.service == result.service
+        ]
+        self.timeline = Timeline()
 
     async def run(self) -> None:
         """Sample until cancelled."""
@@ -269,19 +278,18 @@
         while True:
             await asyncio.sleep(1.0)
             now = await self._sample()
-            self.windows.append(
-                {
-                    s.name: (now[s.name] - last[s.name]) / s.slots
-                    for s in self._servers
-                    if s.name in now and s.name in last
-                }
-            )
+            window = {
+                s.name: (now[s.name] - last[s.name]) / s.slots for s in self._servers
+            }
+            self.timeline.busy.append(window)
+            self.timeline.refused.append(len(self._result.tally.not_run))
+            self.timeline.broken.append(self._result.broken_flows)
             last = now
 
     def imbalance(self) -> float:
         """Return the mean over windows of highest over mean load."""
         ratios = []
-        for window in self.windows:
+        for window in self.timeline.busy:
             mean = statistics.fmean(window.values())
             if mean > 0.05:
                 ratios.append(max(window.values()) / mean)
@@ -393,7 +401,12 @@
 
 
 async def measure(
-    shape_name: str, scenario: str, policy: str, seed: int, seconds: float
+    shape_name: str,
+    scenario: str,
+    policy: str,
+    seed: int,
+    seconds: float,
+    plot: str = "",
 ) -> dict:
     """Run one measurement and return its figures."""
     shape = SHAPES[shape_name]
@@ -414,7 +427,7 @@
         for load in loads:
             load.start()
         await asyncio.sleep(WARM_UP_SECONDS)
-        meters = [ImbalanceMeter(deployment, name) for name in shape.services]
+        meters = [ImbalanceMeter(deployment, load.result) for load in loads]
         sampling = [asyncio.create_task(meter.run()) for meter in meters]
         say(f"playing {scenario} under {policy}")
         started = time.monotonic()
@@ -429,6 +442,9 @@
         for load in loads:
             await load.close()
     statsd.close()
+    if plot:
+        title = f"{shape_name} {scenario} {policy} seed {seed}"
+        draw_timeline(meters[0].timeline, title, plot)
     figures = summarise([load.result for load in loads], records)
     figures["imbalance"] = meters[0].imbalance()
     figures["config_in_force_s"] = round(max(probes), 3) if probes else None
@@ -516,6 +532,7 @@
     seed: int = 1,
     seconds: float = 10.0,
     out: str = "",
+    plot: str = "",
 ) -> None:
     """Measure one scenario and print one JSON line.
 
@@ -533,8 +550,10 @@
         Shortest time that is measured.
     out : str
         File to append the line to.
+    plot : str
+        File to write a picture over time to, such as run.png.
     """
-    figures = uvloop.run(measure(shape, scenario, policy, seed, seconds))
+    figures = uvloop.run(measure(shape, scenario, policy, seed, seconds, plot))
     line = json.dumps(figures)
     print(line)
     if out:
--- a/src/berylturn/process/agent.py
+++ b/src/berylturn/process/agent.py
@@ -48,7 +48,7 @@
 from .runner import BackendRunner
 from .settings import AgentSettings, make_key_ring
 from .sockets import open_udp, open_udp_when_free
-from .succession import claim_snapshot, platform_answers, write_snapshot
+from .succession import claim_snapshot, wait_for_platform, write_snapshot
 from .tasks import TaskGroup
 
 Address = tuple[str, int]
@@ -356,12 +356,9 @@
     async def _hand_over(self, deadline: float) -> bool:
         """Write all flows as one snapshot; return False when that failed."""
         name = self._settings.node.name
-        while self._rules.flows:
-            if await platform_answers(self._platform, name):
-                break
-            if self._clock.monotonic() > deadline:
-                return False
-        if not self._rules.flows:
+        if not await wait_for_platform(
+            self._platform, name, self._clock, deadline, lambda: bool(self._rules.flows)
+        ):
             return False
         self._rules.park()
         while self._rules.requests.unfinished and self._clock.monotonic() < deadline:
--- a/src/berylturn/process/control.py
+++ b/src/berylturn/process/control.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from ..connection.frames import ConfigObject, MemberState
-from ..errors import BerylturnError
+from ..errors import BerylturnError, SettingsError
 from .settings import TlsSection
 
 SERVICE = "berylturn.Control"
@@ -122,15 +122,12 @@
         (grpc.method_handlers_generic_handler(SERVICE, methods),)
     )
     target = f"{address[0]}:{address[1]}"
-    if tls.certificate:
-        credentials = grpc.ssl_server_credentials(
-            [(_read(tls.key), _read(tls.certificate))],
-            _read(tls.authority),
-            require_client_auth=bool(tls.authority),
-        )
-        server.add_secure_port(target, credentials)
-    else:
-        server.add_insecure_port(target)
+    try:
+        _add_port(server, target, tls)
+    except RuntimeError as error:
+        raise SettingsError(
+            f"cannot listen on {target} (TCP); choose a free port"
+        ) from error
     await server.start()
     return server
 
@@ -161,6 +158,18 @@
             ) from error
 
 
+def _add_port(server: grpc.aio.Server, target: str, tls: TlsSection) -> None:
+    if not tls.certificate:
+        server.add_insecure_port(target)
+        return
+    credentials = grpc.ssl_server_credentials(
+        [(_read(tls.key), _read(tls.certificate))],
+        _read(tls.authority),
+        require_client_auth=bool(tls.authority),
+    )
+    server.add_secure_port(target, credentials)
+
+
 def _handler(name: str, function: Callable[[Any], Awaitable[Any]]) -> Any:
     request_type, _ = _METHODS[name]
 
@@ -184,4 +193,11 @@
 
 
 def _read(path: str) -> bytes | None:
-    return Path(path).read_bytes() if path else None
+    if not path:
+        return None
+    try:
+        return Path(path).read_bytes()
+    except OSError as error:
+        raise SettingsError(
+            f"cannot read {path} ({error.strerror}); check the [tls] section"
+        ) from error
--- a/src/berylturn/process/succession.py
+++ b/src/berylturn/process/succession.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from ..errors import (
     ObjectNotFound,
@@ -14,15 +15,33 @@
 
 HANDOVER_PREFIX = "handover/"
 RETRY_SECONDS = 0.5
+SLOW_SECONDS = 1.0
+OUTAGE_SECONDS = 3.0
 
 
-async def platform_answers(platform: Platform, name: str) -> bool:
-    """Tell whether the platform answers now."""
-    try:
-        await current_version(platform, HANDOVER_PREFIX + name)
-    except PlatformUnavailable:
-        return False
-    return True
+async def wait_for_platform(
+    platform: Platform,
+    name: str,
+    clock: Clock,
+    deadline: float,
+    needed: Callable[[], bool],
+) -> bool:
+    """Wait until the platform answers, while that is still needed.
+
+    Parameters
+    ----------
+    deadline : float
+        Seconds on the monotonic clock.
+    needed : callable
+        Tells whether there is still something to hand over.
+    """
+    while needed() and clock.monotonic() < deadline:
+        try:
+            await current_version(platform, HANDOVER_PREFIX + name)
+            return needed()
+        except PlatformUnavailable:
+            await asyncio.sleep(RETRY_SECONDS)
+    return False
 
 
 async def write_snapshot(
@@ -45,8 +64,12 @@
     """Take the snapshot of a predecessor, once; None when there is none.
 
     The conditional delete makes the claim: of several claimants one succeeds.
+    A platform that is slow is waited for until `deadline`; one that is down only
+    for a few seconds, since callers are kept waiting meanwhile.
     """
+    give_up = clock.monotonic() + OUTAGE_SECONDS
     while clock.monotonic() < deadline:
+        called_at = clock.monotonic()
         try:
             found = await platform.get(HANDOVER_PREFIX + name)
             await platform.delete(HANDOVER_PREFIX + name, found.version)
@@ -54,5 +77,8 @@
         except (ObjectNotFound, VersionConflict):
             return None
         except PlatformUnavailable:
+            now = clock.monotonic()
+            if now - called_at < SLOW_SECONDS and now > give_up:
+                return None
             await asyncio.sleep(RETRY_SECONDS)
     return None
--- a/src/berylturn_standins/scenarios.py
+++ b/src/berylturn_standins/scenarios.py
@@ -51,6 +51,25 @@
     await stop_process(old, seconds=90.0)
 
 
+async def replace_agent_in_outage(deployment: Deployment) -> None:
+    """Replace an agent in place while the platform is down for a while."""
+    plan = deployment.plan.servers[0]
+    await deployment.post("platform", "/_switches", {"outage": True})
+    replacing = asyncio.create_task(replace_agent(deployment, plan))
+    await asyncio.sleep(4 * SETTLE_SECONDS)
+    await deployment.post("platform", "/_switches", {"outage": False})
+    await replacing
+    await asyncio.sleep(SETTLE_SECONDS)
+
+
+async def replace_agent_twice(deployment: Deployment) -> None:
+    """Replace the same agent in place twice in a row."""
+    plan = deployment.plan.servers[0]
+    for _ in range(2):
+        await replace_agent(deployment, plan)
+        await asyncio.sleep(SETTLE_SECONDS)
+
+
 async def kill_agent(deployment: Deployment) -> None:
     """End one agent at once and start another a while later."""
     plan = deployment.plan.servers[0]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -92,6 +92,12 @@
     async def test_agents_replaced_in_place(self):
         await self.check_planned(scenarios.replace_agents)
 
+    async def test_agent_replaced_while_the_platform_is_down(self):
+        await self.check_planned(scenarios.replace_agent_in_outage)
+
+    async def test_agent_replaced_twice(self):
+        await self.check_planned(scenarios.replace_agent_twice)
+
     async def test_shares_changed(self):
         await self.check_planned(scenarios.change_shares)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -21,8 +21,18 @@
     Status,
 )
 from berylturn.connection.gate import AdmissionGate, Limits
-from berylturn.connection.packets import RefusalReason
+from berylturn.connection.keys import Key, KeyRing
+from berylturn.connection.packets import (
+    CloseReason,
+    Open,
+    Ping,
+    RefusalReason,
+    decode_to_caller,
+    encode_packet,
+)
+from berylturn.connection.router import Drop, Forward, route_packet
 from berylturn.connection.siblings import Siblings
+from berylturn.connection.token import RouteToken, issue_token
 from berylturn.process.homes import Homes
 from berylturn.request.retry import Failure, RetryBudget, decide_retry
 from berylturn.version.placement import place_flow, rank_candidates
@@ -119,6 +129,46 @@
         self.assertIsNone(view.table("media"))
 
 
+KEYS = KeyRing(Key(1, bytes(16)))
+TOKEN = issue_token(RouteToken("h", 7, 1, "x", "booking", bytes(16)), KEYS)
+FORGED = issue_token(
+    RouteToken("h", 7, 1, "x", "booking", bytes(16)), KeyRing(Key(1, b"z" * 16))
+)
+
+
+class Routing(unittest.TestCase):
+    """What a balancer does with one datagram."""
+
+    @params(
+        (b"\x00garbage", Drop("malformed")),
+        (bytes(2000), Drop("malformed")),
+        (encode_packet(Ping(b"", 0, 0)), Drop("forged")),
+        (encode_packet(Ping(FORGED, 0, 0)), Drop("forged")),
+        (encode_packet(Ping(TOKEN, 0, 0)), Forward(("h", 7))),
+    )
+    def test_routes(self, data, expected):
+        self.assertEqual(route_packet(data, make_view(), KEYS), expected)
+
+    def test_tokens_route_whatever_became_of_the_configuration(self):
+        found = route_packet(encode_packet(Ping(TOKEN, 0, 0)), View(), KEYS)
+        self.assertEqual(found, Forward(("h", 7)))
+
+    def test_tokens_of_a_data_centre_that_is_out_are_refused(self):
+        view = make_view()
+        body = b'{"labels": {"state": "out"}}'
+        view.apply([ConfigObject("data-centre/x", 9, body)])
+        found = route_packet(encode_packet(Ping(TOKEN, 0, 0)), view, KEYS)
+        closed = decode_to_caller(found.data)
+        self.assertEqual(closed.reason, CloseReason.DATA_CENTRE_OUT)
+
+    @params(("media", "unknown_service"), ("booking", "no_server"))
+    def test_opens_without_a_place_are_refused(self, service, reason):
+        view = View()
+        view.apply([selector(4)])
+        found = route_packet(encode_packet(Open(bytes(16), service)), view, KEYS)
+        self.assertEqual(found.reason, reason)
+
+
 class PassingOn(unittest.TestCase):
     """When an agent passes a new flow on to a sibling."""
 
