--- a/src/berylturn/connection/frames.py
+++ b/src/berylturn/connection/frames.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..errors import AuthenticationError, PacketError
+from ..errors import PacketError
 from .keys import KeyRing
 from .token import SIGNATURE_BYTES
 
@@ -214,12 +214,3 @@
         return _decoder.decode(body)
     except msgspec.DecodeError as error:
         raise PacketError("frame is malformed; run one release") from error
-
-
-def is_authentic(data: bytes, keys: KeyRing) -> bool:
-    """Tell whether `data` is signed with a key of this system."""
-    try:
-        keys.verify(data[:SIGNATURE_BYTES], data[SIGNATURE_BYTES:])
-    except AuthenticationError:
-        return False
-    return True
