--- a/src/berylturn/process/backend.py
+++ b/src/berylturn/process/backend.py
@@ -128,11 +128,6 @@
         self._connections: dict[bytes, _FlowConnection] = {}
         self._down_since: float | None = None
 
-    @property
-    def open_connections(self) -> int:
-        """Return how many flows hold a connection."""
-        return len(self._connections)
-
     @property
     def lost(self) -> bool:
         """Tell whether the server has accepted no connection for a while."""
