Keep requests that are still connecting from a server that has just restarted

A request was counted by the gate and then opened or probed its connection; a cold start seen in between lowered the limit, but what was already connecting was written all the same. The end of the sentinel connection was also reported some turns of the event loop after it had been read.

Ruled out: duplicates sent by the HTTP client (it repeats no POST); requests of dead connections that the stand-in still ran. These existed as well (the trace shows a closed transport), and the stand-in now drops them as a dead process would.

The stand-in cancelled its own recovery when it fell over, so it stayed broken for good, and the agent went on sending to a server that ended every request.

Change: a connection is prepared first, and a new one gets one answer before use; RequestRules.confirm decides whether the request may be written, and puts it back in front of the queue after a cold start; the sentinel reports in the callback itself. A request cancelled before it was written ends as a true "not run". A circuit breaker pauses work for a server that ends requests without an answer and gives its flows up when pauses reach 0.8 s.

The fuzzer checks that a cold server gets one request at a time, and finds the fault when confirm is made to agree always.

--- a/src/berylturn/connection/admission.py
+++ b/src/berylturn/connection/admission.py
@@ -152,6 +152,10 @@
         self.outbox.count("gate.cold")
         self._gate.fall_cold(now)
 
+    def on_broken(self, now: float, era: int) -> None:
+        """Note that the backend server ended a connection that had a request."""
+        self._gate.on_broken(now, era)
+
     def set_server_up(self, up: bool, now: float) -> None:
         """Note whether the backend server can be reached at all.
 
--- a/src/berylturn/connection/gate.py
+++ b/src/berylturn/connection/gate.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, replace
 
+from .breaker import Breaker
 from .packets import RefusalReason
 
 RATE_BURST_SECONDS = 0.5
@@ -60,7 +61,7 @@
     Examples
     --------
     >>> gate = AdmissionGate(Limits(slots=3, cold_limit=1), now=0.0)
-    >>> gate.start(), gate.start()
+    >>> gate.start(now=0.0), gate.start(now=0.0)
     (True, False)
     """
 
@@ -78,6 +79,7 @@
         self._baseline = 0.0
         self._baseline_count = 0
         self._slow_streak = 0
+        self._breaker = Breaker()
         self.draining = False
         self.down = False
         self.out = False
@@ -160,9 +162,13 @@
         """Count a flow as ended."""
         self._flows -= 1
 
-    def start(self) -> bool:
-        """Count one request as running; return False at the limit."""
-        if self._running >= self.limit:
+    def may_start(self, now: float) -> bool:
+        """Tell whether one more request may run."""
+        return self._running < self.limit and not self._breaker.holds(now)
+
+    def start(self, now: float) -> bool:
+        """Count one request as running; return False when none may start."""
+        if not self.may_start(now):
             return False
         self._running += 1
         return True
@@ -190,10 +196,23 @@
         if self._is_slow(seconds):
             self.fall_cold(now)
             return True
+        self._breaker.on_answer()
         self._service_seconds += SERVICE_SMOOTHING * (seconds - self._service_seconds)
         self._ramp(now)
         return False
 
+    def on_broken(self, now: float, era: int) -> None:
+        """Note that the server ended a connection instead of answering.
+
+        Requests from before a restart say nothing about the server that runs now.
+        """
+        if era == self._era:
+            self._breaker.on_broken(now)
+
+    def server_lost(self, now: float) -> bool:
+        """Tell whether the server has answered nothing for several requests."""
+        return self._breaker.is_lost(now)
+
     def fall_cold(self, now: float) -> None:
         """Go back to the cold limit."""
         self._limit = float(min(self._limits.cold_limit, self._limits.slots))
--- a/src/berylturn/process/agent.py
+++ b/src/berylturn/process/agent.py
@@ -268,7 +268,8 @@
 
     def _tick(self) -> None:
         now = self._clock.monotonic()
-        self._rules.set_server_up(not self._backend.lost, now)
+        lost = self._backend.lost or self._rules.gate.server_lost(now)
+        self._rules.set_server_up(not lost, now)
         self._rules.tick(now)
         self._apply_effects()
         gate = self._rules.gate
--- a/src/berylturn/process/backend.py
+++ b/src/berylturn/process/backend.py
@@ -67,8 +67,17 @@
 class Backend(Protocol):
     """What an agent needs from a backend server."""
 
+    async def prepare(self, flow_id: bytes) -> None:
+        """Make sure that the flow has a connection that the server has accepted.
+
+        Raises
+        ------
+        ConnectError
+            No connection can be had.
+        """
+
     async def run(self, call: Call) -> Reply:
-        """Run one request.
+        """Run one request on the prepared connection.
 
         Raises
         ------
@@ -95,6 +104,28 @@
     session: aiohttp.ClientSession
     used_at: float
     active: int = 0
+    proved: bool = False
+
+
+class _Sentinel(asyncio.Protocol):
+    """Report the end of an unused connection in the very callback that tells it."""
+
+    def __init__(self, on_end: Callable[[], None]) -> None:
+        self._on_end = on_end
+        self.ended = asyncio.Event()
+
+    def eof_received(self) -> None:
+        """Take the server's close."""
+        self._end()
+
+    def connection_lost(self, _error: Exception | None) -> None:
+        """Take the end of the connection, however it came."""
+        self._end()
+
+    def _end(self) -> None:
+        if not self.ended.is_set():
+            self.ended.set()
+            self._on_end()
 
 
 class HttpBackend:
@@ -135,9 +166,32 @@
             return False
         return self._clock.monotonic() - self._down_since > LOST_SECONDS
 
+    async def prepare(self, flow_id: bytes) -> None:
+        """Make sure that the flow has a connection that the server has accepted.
+
+        An answer on a connection proves that the server that runs now took it up;
+        the ends of connections to an earlier run have arrived by then.
+        """
+        connection = self._connections.get(flow_id)
+        if connection is not None and self._is_proved(connection):
+            return
+        if connection is not None and not await self._answers(connection.session):
+            await self.release(flow_id)
+            connection = None
+        if connection is None:
+            connection = _FlowConnection(self._new_session(), self._clock.monotonic())
+            self._connections[flow_id] = connection
+            await self._prove(connection)
+        connection.proved = True
+        connection.used_at = self._clock.monotonic()
+        # Lets the event loop report connections that ended in the same instant.
+        await asyncio.sleep(0)
+
     async def run(self, call: Call) -> Reply:
-        """Run one request on the connection of its flow."""
-        connection = await self._prepare(call.flow_id)
+        """Run one request on the prepared connection of its flow."""
+        connection = self._connections.get(call.flow_id)
+        if connection is None:
+            raise ConnectError("the flow has ended; open another")
         connection.active += 1
         try:
             return await self._post(connection.session, call)
@@ -199,10 +253,11 @@
         does not.
         """
         parts = urlsplit(self._url)
+        loop = asyncio.get_running_loop()
         while True:
             try:
-                reader, writer = await asyncio.open_connection(
-                    parts.hostname, parts.port
+                _, sentinel = await loop.create_connection(
+                    lambda: _Sentinel(self._on_restart), parts.hostname, parts.port
                 )
             except OSError:
                 if self._down_since is None:
@@ -211,42 +266,47 @@
                 await asyncio.sleep(SENTINEL_RETRY_SECONDS)
                 continue
             self._down_since = None
-            try:
-                await reader.read()
-            except OSError:
-                pass
-            writer.close()
-            self._on_restart()
+            await sentinel.ended.wait()
 
     def _new_session(self) -> aiohttp.ClientSession:
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._connect_timeout)
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=self._idle)
         return aiohttp.ClientSession(connector=connector, timeout=timeout)
 
-    async def _prepare(self, flow_id: bytes) -> _FlowConnection:
-        """Return a connection that has just been used or has been probed."""
-        connection = self._connections.get(flow_id)
-        if connection is None:
-            connection = _FlowConnection(self._new_session(), self._clock.monotonic())
-            self._connections[flow_id] = connection
-            return connection
+    def _is_proved(self, connection: _FlowConnection) -> bool:
+        """Tell whether the next request goes to a connection that answered lately."""
         idle = self._clock.monotonic() - connection.used_at
-        if connection.active or idle < PROBE_IDLE_SECONDS:
-            return connection
-        if await self._answers(connection.session):
-            return connection
-        await self.release(flow_id)
-        return await self._prepare(flow_id)
+        free = connection.proved and not connection.active
+        return free and idle < PROBE_IDLE_SECONDS
 
     async def _answers(self, session: aiohttp.ClientSession) -> bool:
-        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS)
         try:
-            async with session.get(self._url + "/health", timeout=timeout) as response:
-                await response.read()
+            await self._probe(session)
         except (TimeoutError, aiohttp.ClientError, OSError):
             return False
         return True
 
+    async def _prove(self, connection: _FlowConnection) -> None:
+        """Probe a new connection; a health endpoint that hangs proves nothing."""
+        try:
+            await self._probe(connection.session)
+        except aiohttp.ConnectionTimeoutError as error:
+            raise self._connect_error() from error
+        except TimeoutError:
+            return
+        except (aiohttp.ClientError, OSError) as error:
+            raise self._connect_error() from error
+
+    async def _probe(self, session: aiohttp.ClientSession) -> None:
+        timeout = aiohttp.ClientTimeout(
+            total=PROBE_TIMEOUT_SECONDS, sock_connect=self._connect_timeout
+        )
+        async with session.get(self._url + "/health", timeout=timeout) as response:
+            await response.read()
+
+    def _connect_error(self) -> ConnectError:
+        return ConnectError(f"no connection to {self._url}; check that it runs")
+
     async def _post(self, session: aiohttp.ClientSession, call: Call) -> Reply:
         timeout = aiohttp.ClientTimeout(
             total=max(call.seconds, 0.001), sock_connect=self._connect_timeout
@@ -260,9 +320,7 @@
             ) as response:
                 body = await response.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise ConnectError(
-                f"no connection to {self._url}; check that the server runs"
-            ) from error
+            raise self._connect_error() from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise ConnectionBroken(
                 f"connection to {self._url} failed during a request: {error!r}"
--- a/src/berylturn/process/runner.py
+++ b/src/berylturn/process/runner.py
@@ -64,17 +64,46 @@
         self._running[key] = self._tasks.spawn(work(request))
 
     async def _run_request(self, request: StartRequest) -> None:
+        if not await self._connect(request):
+            return
         started = self._clock.monotonic()
         outcome: Outcome = MayHaveRun()
         try:
             outcome = await self._ask_backend(request)
         finally:
-            now = self._clock.monotonic()
-            key = (request.flow_id, request.number)
-            self._running.pop(key, None)
-            self._metrics.time("request", now - started)
-            self._rules.requests.on_finished(*key, outcome, now - started, now)
-            self._apply()
+            seconds = self._clock.monotonic() - started
+            self._metrics.time("request", seconds)
+            self._finish(request, outcome, seconds)
+
+    async def _connect(self, request: StartRequest) -> bool:
+        """Return whether the request may be written; until then it has not run."""
+        refusal: DidNotRun | None = DidNotRun(RefusalReason.CANCELLED)
+        try:
+            await self._backend.prepare(request.flow_id)
+            refusal = None
+        except ConnectError:
+            self._note_cold("unreachable")
+            refusal = DidNotRun(RefusalReason.UNREACHABLE, UNREACHABLE_RETRY_MS)
+        finally:
+            if refusal is not None:
+                self._finish(request, refusal, 0.0)
+        return refusal is None and self._confirm(request)
+
+    def _confirm(self, request: StartRequest) -> bool:
+        key = (request.flow_id, request.number)
+        if self._rules.requests.confirm(*key, self._clock.monotonic()):
+            return True
+        self._metrics.count("requests.postponed")
+        self._running.pop(key, None)
+        self._apply()
+        return False
+
+    def _finish(self, request: StartRequest, outcome: Outcome, seconds: float) -> None:
+        key = (request.flow_id, request.number)
+        self._running.pop(key, None)
+        now = self._clock.monotonic()
+        self._rules.requests.on_finished(*key, outcome, seconds, now)
+        self._apply()
 
     async def _ask_backend(self, request: StartRequest) -> Outcome:
         now = self._clock.monotonic()
@@ -92,6 +121,7 @@
             if isinstance(error.__cause__, TimeoutError):
                 await self._backend.cancel(request.flow_id, request.number)
             else:
+                self._rules.on_broken(self._clock.monotonic(), request.era)
                 self._note_cold("reset")
             return MayHaveRun()
         self._metrics.count("requests.answered")
--- a/src/berylturn/request/execution.py
+++ b/src/berylturn/request/execution.py
@@ -85,7 +85,7 @@
     def start(self, request: StartRequest, now: float) -> None:
         """Run a request now, let it wait, or refuse it truthfully."""
         key = (request.flow_id, request.number)
-        if not self._queue and self._gate.start():
+        if not self._queue and self._gate.start(now):
             self._work[key] = _Work(request, None)
             self._outbox.add(request)
             return
@@ -98,6 +98,24 @@
         self._work[key] = _Work(request, waiting)
         self._queue.push(waiting)
 
+    def confirm(self, flow_id: bytes, number: int, now: float) -> bool:
+        """Tell whether a request that was started may be written now.
+
+        Between its start and the moment that a connection is ready the server may
+        have fallen back into cold start; then the request waits again.
+        """
+        key = (flow_id, number)
+        work = self._work[key]
+        if work.request.deadline <= now:
+            self.on_finished(*key, DidNotRun(RefusalReason.DEADLINE), 0.0, now)
+            return False
+        if work.request.era == self._gate.era and flow_id in self._flows:
+            return True
+        self._gate.finish(now, work.request.era, None)
+        self._postpone(key, work)
+        self._start_waiting(now)
+        return False
+
     def on_finished(
         self, flow_id: bytes, number: int, outcome: Outcome, seconds: float, now: float
     ) -> None:
@@ -207,19 +225,29 @@
     def _start_waiting(self, now: float) -> None:
         if self._parked:
             return
-        while self._queue and self._gate.running < self._gate.limit:
+        while self._queue and self._gate.may_start(now):
             waiting = self._queue.pop()
             if waiting is None:
                 return
             if waiting.deadline <= now + self._gate.service_seconds:
                 self._refuse_waiting(waiting, RefusalReason.DEADLINE, now)
                 continue
-            self._gate.start()
+            self._gate.start(now)
             work = self._work[(waiting.flow_id, waiting.number)]
             work.waiting = None
             work.request = replace(work.request, era=self._gate.era)
             self._outbox.add(work.request)
 
+    def _postpone(self, key: Key, work: _Work) -> None:
+        flow = self._flows.get(key[0])
+        if flow is None or self._parked:
+            del self._work[key]
+            if flow is not None:
+                flow.ledger.withdraw(key[1])
+            return
+        work.waiting = Waiting(*key, work.request.deadline)
+        self._queue.push_front(work.waiting)
+
     def _refuse_waiting(
         self, waiting: Waiting, reason: RefusalReason, now: float
     ) -> None:
--- a/src/berylturn/request/queue.py
+++ b/src/berylturn/request/queue.py
@@ -70,6 +70,10 @@
         """Add a request at the end."""
         self._waiting.append(waiting)
 
+    def push_front(self, waiting: Waiting) -> None:
+        """Put back a request that was taken out, whatever the length."""
+        self._waiting.appendleft(waiting)
+
     def pop(self) -> Waiting | None:
         """Return the next request, or None when the queue is empty."""
         while self._waiting:
--- a/src/berylturn_standins/backend.py
+++ b/src/berylturn_standins/backend.py
@@ -86,6 +86,7 @@
         app.router.add_get("/_record", self._record)
         app.router.add_get("/_busy", self._busy)
         app.router.add_post("/_restart", self._restart)
+        app.router.add_post("/_break", self._break)
         self._runner = await serve_http(app, host, port)
         return self._runner
 
@@ -99,6 +100,9 @@
             request.transport.abort()
             raise web.HTTPServiceUnavailable()
         body = json.loads(await request.read())
+        if request.transport is None or request.transport.is_closing():
+            # The process that took this connection has died with it.
+            raise web.HTTPServiceUnavailable()
         if not self._belongs(request, body):
             raise web.HTTPBadRequest()
         if self._running >= self._shape.slots:
@@ -204,20 +208,28 @@
         )
 
     async def _restart(self, _request: web.Request) -> web.Response:
-        asyncio.get_running_loop().call_soon(self._reset)
+        asyncio.get_running_loop().call_soon(self.restart)
+        return web.json_response({})
+
+    async def _break(self, request: web.Request) -> web.Response:
+        """End every request without an answer, or stop to do so."""
+        self._down = (await request.json())["broken"]
         return web.json_response({})
 
     async def _fall_over(self) -> None:
-        self._reset()
+        self.restart()
         self._down = True
-        await asyncio.sleep(FALL_OVER_SECONDS)
-        self._down = False
+        try:
+            await asyncio.sleep(FALL_OVER_SECONDS)
+        finally:
+            self._down = False
 
-    def _reset(self) -> None:
+    def restart(self) -> None:
         """Act out a crash and a new start: all connections end, work is lost."""
         self._cold_until = CLOCK.monotonic() + self._shape.cold_seconds
         for task in self._tasks.values():
-            task.cancel()
+            if task is not asyncio.current_task():
+                task.cancel()
         for handler in list(self._runner.server.connections):
             if handler.transport is not None:
                 handler.transport.abort()
--- a/src/berylturn_standins/scenarios.py
+++ b/src/berylturn_standins/scenarios.py
@@ -171,6 +171,17 @@
     await asyncio.sleep(4 * SETTLE_SECONDS)
 
 
+async def break_backend(deployment: Deployment) -> None:
+    """Let one backend server take connections, end every request, then recover."""
+    name = deployment.plan.servers[0].name
+    await deployment.post(name, "/_break", {"broken": True})
+    await asyncio.sleep(5 * SETTLE_SECONDS)
+    await deployment.post(name, "/_break", {"broken": False})
+    await deployment.wait_servers(
+        deployment.plan.services[0], len(deployment.plan.servers)
+    )
+
+
 async def drain_while_balancers_change(deployment: Deployment) -> None:
     """Drain one backend server while a balancer dies and another joins."""
     dying = deployment.plan.balancers[0]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -137,6 +137,13 @@
         self.assertEqual(set(verdict.endings), {"server_lost"})
         self.assertLess(verdict.longest_gap, 3.0)
 
+    async def test_backend_server_answers_nothing_for_a_while(self):
+        verdict = await self.play(scenarios.break_backend)
+        self.assertLess(verdict.broken_flows, 40)
+        self.assertEqual(set(verdict.endings), {"server_lost"})
+        self.assertLess(verdict.unknown, 15, verdict)
+        self.assertLess(verdict.longest_gap, 3.0)
+
     async def test_no_new_flow_at_draining_server(self):
         admitted = []
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -65,6 +65,7 @@
 BALANCER = ("127.0.0.1", 2)
 FLOWS = [bytes([i]) * 16 for i in range(3)]
 SLOTS = 3
+COLD_SECONDS = 2.0
 
 
 def make_view() -> View:
@@ -73,7 +74,7 @@
         "app": "booking",
         "slots": str(SLOTS),
         "cold-limit": "1",
-        "cold-seconds": "2",
+        "cold-seconds": str(COLD_SECONDS),
     }
     selector = {"service": "booking", "address": "127.0.0.1:9", "match": "app=booking"}
     view = View()
@@ -113,7 +114,10 @@
         self.rules = make_rules(7, self.now)
         self.tokens: dict[bytes, bytes] = {}
         self.started: Counter = Counter()
+        self.connecting: dict[tuple[bytes, int], StartRequest] = {}
         self.running: dict[tuple[bytes, int], StartRequest] = {}
+        self.cold_until = 0.0
+        self.written_cold: set[tuple[bytes, int]] = set()
         self.not_run: set[tuple[bytes, int]] = set()
         self.answered: dict[tuple[bytes, int], bytes] = {}
         self.unknown: set[tuple[bytes, int]] = set()
@@ -129,8 +133,8 @@
         for effect in self.rules.outbox.take_effects():
             if isinstance(effect, StartRequest):
                 key = (effect.flow_id, effect.number)
-                self.started[key] += 1
-                self.running[key] = effect
+                assert key not in self.connecting
+                self.connecting[key] = effect
             elif isinstance(effect, SendToCaller):
                 self.on_answer(decode_to_caller(effect.packet))
 
@@ -148,16 +152,22 @@
         elif isinstance(packet, AnswerPart):
             assert self.answered.setdefault(key, packet.body) == packet.body
 
-    @initialize()
-    def open_flows(self):
+    @initialize(warm=st.booleans())
+    def open_flows(self, warm):
+        if warm:
+            self.rules.gate.restore(float(SLOTS), 0.0, self.now)
         for flow in FLOWS:
             self.deliver(Open(flow, "booking"))
 
-    @rule(flow=st.sampled_from(FLOWS), deadline=st.integers(1, 3000))
-    def send_new(self, flow, deadline):
-        number = self.next_number[flow]
-        self.next_number[flow] += 1
-        self.send(flow, number, deadline, 0)
+    @rule(
+        flows=st.lists(st.sampled_from(FLOWS), min_size=1, max_size=3),
+        deadline=st.integers(1, 3000),
+    )
+    def send_new(self, flows, deadline):
+        for flow in flows:
+            number = self.next_number[flow]
+            self.next_number[flow] += 1
+            self.send(flow, number, deadline, 0)
 
     @rule(flow=st.sampled_from(FLOWS), back=st.integers(0, 5), low=st.integers(0, 3))
     def send_again(self, flow, back, low):
@@ -175,6 +185,31 @@
             )
         )
 
+    @precondition(lambda self: self.connecting)
+    @rule(count=st.integers(1, 3))
+    def connect(self, count):
+        for key in sorted(self.connecting)[:count]:
+            self.connect_one(key)
+
+    def connect_one(self, key):
+        request = self.connecting.pop(key)
+        if self.rules.requests.confirm(*key, self.now):
+            self.started[key] += 1
+            self.running[key] = request
+            if self.now < self.cold_until:
+                self.written_cold.add(key)
+        self.take_effects()
+
+    @precondition(lambda self: self.running)
+    @rule(data=st.data())
+    def server_ends_a_request(self, data):
+        key = data.draw(st.sampled_from(sorted(self.running)))
+        request = self.running.pop(key)
+        self.rules.on_broken(self.now, request.era)
+        self.backend_goes_cold()
+        self.rules.requests.on_finished(*key, MayHaveRun(), 0.1, self.now)
+        self.take_effects()
+
     @precondition(lambda self: self.running)
     @rule(data=st.data(), seconds=st.floats(0.001, 0.5), known=st.booleans())
     def finish(self, data, seconds, known):
@@ -203,8 +238,10 @@
     @rule()
     def backend_goes_cold(self):
         self.rules.on_cold_sign(self.now)
+        self.cold_until = self.now + COLD_SECONDS
+        self.written_cold.clear()
 
-    @precondition(lambda self: not self.running)
+    @precondition(lambda self: not self.running and not self.connecting)
     @rule()
     def hand_over(self):
         self.rules.park()
@@ -228,6 +265,10 @@
         for (flow, number), body in self.answered.items():
             assert body == f"{flow.hex()}/{number}".encode()
 
+    @invariant()
+    def a_cold_server_gets_one_request_at_a_time(self):
+        assert len(self.written_cold & set(self.running)) <= 1
+
     @invariant()
     def limit_is_kept(self):
         gate = self.rules.gate
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,6 +12,7 @@
 from nose2.tools import params
 
 import berylturn
+from berylturn.connection.breaker import Breaker
 from berylturn.connection.channel import ChannelAction, ChannelMonitor
 from berylturn.connection.frames import (
     ConfigObject,
@@ -252,7 +253,7 @@
 
     def answer(self, gate, now, seconds, count):
         for _ in range(count):
-            self.assertTrue(gate.start())
+            self.assertTrue(gate.start(now))
             gate.finish(now, gate.era, seconds)
 
     def test_rises_only_after_the_cold_time_and_by_proof(self):
@@ -266,7 +267,7 @@
 
     def test_answers_from_before_a_restart_prove_nothing(self):
         gate = AdmissionGate(self.LIMITS, 0.0)
-        gate.start()
+        gate.start(0.0)
         era = gate.era
         gate.fall_cold(1.0)
         gate.finish(9.0, era, 0.1)
@@ -295,6 +296,36 @@
         self.assertEqual(found, [None] * 5 + [RefusalReason.FULL])
 
 
+class Breaks(unittest.TestCase):
+    """Pauses for a server that ends requests without an answer."""
+
+    @params(
+        (1, 0.04, True, False),
+        (1, 0.06, False, False),
+        (4, 0.3, True, False),
+        (5, 0.7, True, True),
+        (5, 0.9, False, False),
+        (40, 9.9, True, True),
+        (40, 10.1, False, False),
+    )
+    def test_pauses_double(self, breaks, after, holds, lost):
+        breaker = Breaker()
+        for _ in range(breaks):
+            breaker.on_broken(1.0)
+        now = 1.0 + after
+        self.assertEqual((breaker.holds(now), breaker.is_lost(now)), (holds, lost))
+        breaker.on_answer()
+        self.assertFalse(breaker.holds(1.0))
+
+    def test_requests_of_one_restart_count_as_one_break(self):
+        gate = AdmissionGate(Limits(slots=3), 0.0)
+        for _ in range(9):
+            gate.on_broken(1.0, 0)
+            gate.fall_cold(1.0)
+        self.assertFalse(gate.may_start(1.04))
+        self.assertTrue(gate.may_start(1.06))
+
+
 class Silence(unittest.TestCase):
     """Channels that have gone silent."""
 
