Start new agents at the cold limit of their labels

Cause: a gate is made with default limits (one slot), before the labels have arrived, and counted as warm because its limit reached that one slot. The labels then opened it to all slots at once, so a server that joined cold got full load. The cold time stayed at the default of 10 s as well.

Change: labels open a gate fully only when answers after the cold time have proved it warm; before that they set the cold limit, and the cold time counts from the start with the label's seconds. A successor goes on with the limit of its predecessor, also before its labels have arrived.

A fresh agent now really serves at the cold limit for the cold time, which lowers what a new deployment bears in its first seconds.

--- a/src/berylturn/connection/gate.py
+++ b/src/berylturn/connection/gate.py
@@ -68,9 +68,11 @@
     def __init__(self, limits: Limits, now: float) -> None:
         self._limits = limits
         self._limit = float(limits.cold_limit)
+        self._cold_since: float | None = now
         self._cold_until = now + limits.cold_seconds
         self._successes = 0
         self._era = 0
+        self._proved = False
         self._running = 0
         self._flows = 0
         self._rate_tokens = limits.flow_rate * RATE_BURST_SECONDS
@@ -133,10 +135,14 @@
         """Put new limits in force; running requests are not touched."""
         if limits == self._limits:
             return
-        was_warm = self.warm
+        was_warm = self.warm and self._proved
+        if self._cold_since is not None:
+            self._cold_until = self._cold_since + limits.cold_seconds
         self._limits = limits
         if was_warm:
             self._limit = float(limits.slots)
+        elif now < self._cold_until:
+            self._limit = float(min(limits.cold_limit, limits.slots))
         else:
             self._limit = float(min(max(self.limit, limits.cold_limit), limits.slots))
         self._rate_tokens = min(
@@ -216,14 +222,17 @@
     def fall_cold(self, now: float) -> None:
         """Go back to the cold limit."""
         self._limit = float(min(self._limits.cold_limit, self._limits.slots))
+        self._cold_since = now
         self._cold_until = now + self._limits.cold_seconds
         self._successes = 0
+        self._proved = False
         self._slow_streak = 0
         self._era += 1
 
     def restore(self, limit: float, cold_left: float, now: float) -> None:
         """Take over the limit of a predecessor of the same backend server."""
-        self._limit = min(limit, float(self._limits.slots))
+        self._limit = limit
+        self._cold_since = None
         self._cold_until = now + cold_left
 
     def cold_left(self, now: float) -> float:
@@ -241,7 +250,10 @@
         return True
 
     def _ramp(self, now: float) -> None:
-        if self.warm or now < self._cold_until:
+        if now < self._cold_until:
+            return
+        self._proved = True
+        if self.warm:
             return
         self._successes += 1
         if self._successes >= COLD_SUCCESSES_PER_SLOT * self.limit:
--- a/src/berylturn_standins/background.py
+++ b/src/berylturn_standins/background.py
@@ -31,6 +31,8 @@
 
     Attributes
     ----------
+    prefix : str
+        Start of the names of requests, which tells loads apart.
     sessions, streams : int
         Sessions that send requests, and streams that are followed.
     pause : float
@@ -40,6 +42,7 @@
     """
 
     service: str
+    prefix: str = "s"
     sessions: int = 40
     streams: int = 4
     pause: float = 0.15
@@ -162,7 +165,7 @@
         count = 0
         while not self._stopping.is_set():
             plan = RequestPlan(
-                f"s{index}-{count}",
+                f"{shape.prefix}{index}-{count}",
                 shape.work_ms,
                 source.randint(1, shape.max_size),
                 count % 2 == 0,
--- a/src/berylturn_standins/scenarios.py
+++ b/src/berylturn_standins/scenarios.py
@@ -5,7 +5,9 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
+from .background import BackgroundLoad, LoadShape
 from .deployment import BalancerPlan, Deployment, ServerPlan, stop_process
 
 SETTLE_SECONDS = 1.0
@@ -70,6 +72,19 @@
         await asyncio.sleep(SETTLE_SECONDS)
 
 
+async def join_cold_server(deployment: Deployment) -> None:
+    """Start one more backend server, which is cold, and send new flows."""
+    first = deployment.plan.servers[0]
+    joining = replace(first, name=f"{first.name}-late", cold_seconds=3.0)
+    deployment.plan.servers.append(joining)
+    await deployment.apply_labels(joining)
+    await deployment.start_server(joining)
+    await deployment.wait_servers(first.service, len(deployment.plan.servers))
+    shape = LoadShape(first.service, "late", pause=0.02, work_ms=30.0, streams=0)
+    async with BackgroundLoad(deployment, shape):
+        await asyncio.sleep(2 * SETTLE_SECONDS)
+
+
 async def kill_agent(deployment: Deployment) -> None:
     """End one agent at once and start another a while later."""
     plan = deployment.plan.servers[0]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -131,6 +131,9 @@
     async def test_data_centre_starts_cold(self):
         await self.check_local(scenarios.restart_data_centre)
 
+    async def test_cold_server_joins(self):
+        await self.check_planned(scenarios.join_cold_server)
+
     async def test_backend_server_lost(self):
         verdict = await self.play(scenarios.kill_backend)
         self.assertLess(verdict.broken_flows, 40)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -265,6 +265,25 @@
         self.answer(gate, 3.0, 0.1, 6)
         self.assertEqual(gate.limit, 3)
 
+    @params(
+        (0.0, 0, 1),
+        (1.9, 0, 1),
+        (2.1, 0, 1),
+        (2.1, 1, 5),
+    )
+    def test_labels_that_arrive_late_do_not_open_a_cold_gate(self, now, answers, limit):
+        gate = AdmissionGate(Limits(cold_seconds=2.0), 0.0)
+        self.answer(gate, now, 0.1, answers)
+        gate.set_limits(Limits(slots=5, cold_limit=1, cold_seconds=2.0), now)
+        self.assertEqual(gate.limit, limit)
+
+    @params((3.0, 0.0, 3), (2.0, 0.0, 2), (1.0, 1.0, 1))
+    def test_a_successor_goes_on_with_the_limit(self, limit, cold_left, expected):
+        gate = AdmissionGate(Limits(), 0.0)
+        gate.restore(limit, cold_left, 0.0)
+        gate.set_limits(self.LIMITS, 0.1)
+        self.assertEqual(gate.limit, expected)
+
     def test_answers_from_before_a_restart_prove_nothing(self):
         gate = AdmissionGate(self.LIMITS, 0.0)
         gate.start(0.0)
