Make what is in force a function of the objects alone

Cause: on reading again. The last valid form of an object was whatever a node had happened to apply before, and of two selectors with one address the first to arrive won. Two balancers that saw objects in different orders, or one that restarted, could hold different configuration for good, with equal digests, so anti-entropy never mended it. Two operators that gave one address to two services at the same time were both told that it was done.

Change: the store keeps the newest and the newest valid form, peers hand on both, and the digest covers both. Addresses are claimed in the platform by the tool; balancers keep selectors that share one and name them in `status`. A write whose answer was lost, and which another change then replaced, is reported as possibly in force instead of as a conflict. An agent follows its labels when the view changes, no longer on each tick of 50 ms.

--- a/src/berylturn/cli.py
+++ b/src/berylturn/cli.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from .errors import BerylturnError, ObjectNotFound, SelectorError, SettingsError
+from .process.claims import claim_address, list_claims, release_claims
 from .process.clock import SystemClock
 from .process.control import (
     ControlError,
@@ -213,7 +214,11 @@
     await _check_address_is_free(tool, selector.service, selector.address)
     name = SELECTOR_PREFIX + selector.service
     expected = await current_version(tool.platform, name)
+    claims = await list_claims(tool.platform, selector.service)
+    await claim_address(tool.platform, selector.service, selector.address)
     version = await tool.platform.put(name, body, expected)
+    claims.pop(selector.address, None)
+    await release_claims(tool.platform, claims)
     matched = await _count_matches(tool, selector)
     if not matched:
         print("warning: the selector matches no backend server yet", file=sys.stderr)
@@ -225,13 +230,25 @@
 
 async def _remove_selector(tool: _Tool, service: str, wait: bool) -> None:
     name = SELECTOR_PREFIX + service
-    known = await tool.platform.get(name)
-    version = await tool.platform.delete(name, known.version)
-    if wait:
+    claims = await list_claims(tool.platform, service)
+    version = await _delete_selector(tool, name, bool(claims))
+    await release_claims(tool.platform, claims)
+    if wait and version:
         await tool.wait_in_force(name, version)
     tool.show({"object": name, "version": version}, f"{name} deleted")
 
 
+async def _delete_selector(tool: _Tool, name: str, may_lack: bool) -> int:
+    """Return the version of the deletion, 0 when there was nothing to delete."""
+    try:
+        known = await tool.platform.get(name)
+    except ObjectNotFound:
+        if may_lack:
+            return 0
+        raise
+    return await tool.platform.delete(name, known.version)
+
+
 async def _check_address_is_free(tool: _Tool, service: str, address: str) -> None:
     result = await tool.platform.list(SELECTOR_PREFIX)
     for item in result.objects:
@@ -286,6 +303,8 @@
     ]
     for service, servers in sorted(reply.services.items()):
         lines.append(f"  {service}: {', '.join(servers) or 'no backend servers'}")
+    for address, names in reply.shared_addresses.items():
+        lines.append(f"  {address} is shared by {', '.join(names)}; give each its own")
     for problem in reply.problems:
         lines.append(f"  refused {problem.name}@{problem.version}: {problem.reason}")
     return lines
--- a/src/berylturn/connection/admission.py
+++ b/src/berylturn/connection/admission.py
@@ -99,6 +99,7 @@
         self._flow_idle = flow_idle
         self._flows: dict[bytes, Flow] = {}
         self._next_scan = 0.0
+        self._seen_revision = -1
         self._closing = False
         self._parked = False
         self.outbox = Outbox()
@@ -330,6 +331,9 @@
         self.outbox.send(flow, closed, now)
 
     def _follow_configuration(self, now: float) -> None:
+        if self._view.revision == self._seen_revision:
+            return
+        self._seen_revision = self._view.revision
         who = self._identity
         self._gate.set_limits(self._view.limits(who.name), now)
         labels = self._view.labels(who.name)
--- a/src/berylturn/errors.py
+++ b/src/berylturn/errors.py
@@ -33,6 +33,10 @@
     """Raise when a conditional write finds another version."""
 
 
+class ChangeUnknown(VersionConflict):
+    """Raise when a write may have taken effect before another one replaced it."""
+
+
 class ObjectNotFound(PlatformError):
     """Raise when the platform holds no object of that name."""
 
--- a/src/berylturn/process/control.py
+++ b/src/berylturn/process/control.py
@@ -72,6 +72,7 @@
     agents: list[MemberState]
     services: dict[str, list[str]]
     counters: dict[str, int]
+    shared_addresses: dict[str, list[str]] = {}
 
 
 class ExplainRequest(msgspec.Struct, array_like=True):
--- a/src/berylturn/process/inspection.py
+++ b/src/berylturn/process/inspection.py
@@ -72,6 +72,7 @@
             list(view.agents.values()),
             {name: sorted(s.servers) for name, s in view.services.items()},
             self._metrics.totals,
+            view.shared_addresses(),
         )
 
     async def _serve_explain(self, request: ExplainRequest) -> ExplainReply:
--- a/src/berylturn/process/platform.py
+++ b/src/berylturn/process/platform.py
@@ -21,6 +21,7 @@
 
 from ..connection.frames import ConfigObject
 from ..errors import (
+    ChangeUnknown,
     ObjectNotFound,
     PlatformError,
     PlatformUnavailable,
@@ -117,11 +118,13 @@
     async def _change(self, method: str, name: str, content: dict[str, Any]) -> int:
         change_id = secrets.token_hex(8)
         content = {**content, "change_id": change_id}
+        lost = False
         for attempt in range(MAX_ATTEMPTS):
             try:
                 return (await self._call(method, _path(name), content))["version"]
             except (PlatformUnavailable, VersionConflict) as error:
-                version = await self._settle(name, content, error)
+                lost = lost or isinstance(error, PlatformUnavailable)
+                version = await self._settle(name, content, error, lost)
             if version:
                 return version
             await asyncio.sleep(FIRST_RETRY_SECONDS * 2**attempt)
@@ -131,10 +134,12 @@
         )
 
     async def _settle(
-        self, name: str, content: dict[str, Any], error: PlatformError
+        self, name: str, content: dict[str, Any], error: PlatformError, lost: bool
     ) -> int:
         """Return the version if the change took effect, 0 while that is open.
 
+        `lost` tells that the answer to one of its writes never came.
+
         As long as the object has the expected version, a change that was sent
         may still take effect, so it is neither a success nor a conflict.
         """
@@ -147,7 +152,13 @@
         if reply["change_id"] == content["change_id"]:
             return reply["version"]
         live_version = 0 if reply["body"] is None else reply["version"]
-        if live_version != content["expected"] or isinstance(error, VersionConflict):
+        moved_on = live_version != content["expected"]
+        if moved_on and lost:
+            raise ChangeUnknown(
+                f"{name} has version {live_version} now, from another change; this "
+                "one may have been in force before: read it, then try again if needed"
+            )
+        if moved_on or isinstance(error, VersionConflict):
             raise VersionConflict(
                 f"{name} has version {live_version} now; read it and try again"
             )
--- a/src/berylturn/version/objects.py
+++ b/src/berylturn/version/objects.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from ..connection.frames import ConfigObject
@@ -12,12 +12,23 @@
 DIGEST_BYTES = 8
 
 
+def accept_all(_item: ConfigObject) -> bool:
+    """Take every object as valid."""
+    return True
+
+
 @dataclass
 class ObjectStore:
-    """Keep, per name, the object of the highest version, deletions included.
+    """Keep, per name, the newest object and the newest valid one.
+
+    Both are those of the highest version, deletions included. Merging is
+    commutative, associative and idempotent, so that the order and the number of
+    times in which objects arrive do not matter.
 
-    Merging is commutative, associative and idempotent, so that the order and
-    the number of times in which objects arrive do not matter.
+    Attributes
+    ----------
+    is_valid : callable
+        Tells whether an object may be in force; depends on the object alone.
 
     Examples
     --------
@@ -28,7 +39,9 @@
     []
     """
 
+    is_valid: Callable[[ConfigObject], bool] = accept_all
     _objects: dict[str, ConfigObject] = field(default_factory=dict)
+    _older_valid: dict[str, ConfigObject] = field(default_factory=dict)
     _sums: list[int] = field(default_factory=lambda: [0] * BUCKETS)
 
     def __len__(self) -> int:
@@ -46,20 +59,22 @@
         known = self._objects.get(name)
         return known.version if known else 0
 
+    def in_force(self, name: str) -> ConfigObject | None:
+        """Return the newest valid object of that name, or None."""
+        older = self._older_valid.get(name)
+        newest = self._objects.get(name)
+        if older is not None or newest is None:
+            return older
+        return newest if self.is_valid(newest) else None
+
+    def forms(self, name: str) -> list[ConfigObject]:
+        """Return what another store needs of one name: at most two objects."""
+        found = (self._objects.get(name), self._older_valid.get(name))
+        return [item for item in found if item is not None]
+
     def merge(self, objects: Iterable[ConfigObject]) -> list[ConfigObject]:
         """Keep what is newer; return the objects that changed the store."""
-        changed = []
-        for item in objects:
-            known = self._objects.get(item.name)
-            if known is not None and known.version >= item.version:
-                continue
-            bucket = bucket_of(item.name)
-            if known is not None:
-                self._sums[bucket] ^= _fingerprint(known.name, known.version)
-            self._sums[bucket] ^= _fingerprint(item.name, item.version)
-            self._objects[item.name] = item
-            changed.append(item)
-        return changed
+        return [item for item in objects if self._merge_one(item)]
 
     def digest(self) -> bytes:
         """Return a short digest of all names and versions."""
@@ -73,8 +88,40 @@
         return list(self._sums)
 
     def in_buckets(self, buckets: set[int]) -> list[ConfigObject]:
-        """Return the objects whose names fall in `buckets`."""
-        return [o for o in self._objects.values() if bucket_of(o.name) in buckets]
+        """Return all forms of the objects whose names fall in `buckets`."""
+        names = [name for name in self._objects if bucket_of(name) in buckets]
+        return [item for name in names for item in self.forms(name)]
+
+    def _merge_one(self, item: ConfigObject) -> bool:
+        known = self._objects.get(item.name)
+        if known is not None and known.version >= item.version:
+            return self._keep_older(item, known)
+        self._toggle_sum(item.name)
+        valid = self.in_force(item.name)
+        self._objects[item.name] = item
+        if self.is_valid(item):
+            self._older_valid.pop(item.name, None)
+        elif valid is not None:
+            self._older_valid[item.name] = valid
+        self._toggle_sum(item.name)
+        return True
+
+    def _keep_older(self, item: ConfigObject, newest: ConfigObject) -> bool:
+        """Keep an object that is in force as long as the newest is invalid."""
+        if item.version == newest.version or self.is_valid(newest):
+            return False
+        valid = self._older_valid.get(item.name)
+        if not self.is_valid(item) or (valid and valid.version >= item.version):
+            return False
+        self._toggle_sum(item.name)
+        self._older_valid[item.name] = item
+        self._toggle_sum(item.name)
+        return True
+
+    def _toggle_sum(self, name: str) -> None:
+        """Add the versions of a name to its bucket's digest, or remove them."""
+        for item in self.forms(name):
+            self._sums[bucket_of(name)] ^= _fingerprint(name, item.version)
 
 
 def bucket_of(name: str) -> int:
--- a/src/berylturn/version/selectors.py
+++ b/src/berylturn/version/selectors.py
@@ -13,6 +13,7 @@
 DATA_CENTRE_PREFIX = "data-centre/"
 SELECTOR_PREFIX = "selector/"
 BALANCER_PREFIX = "balancer/"
+ADDRESS_PREFIX = "address/"
 CONFIG_KINDS = ("server", "data-centre", "selector", "balancer")
 TOTAL_SHARE = 100
 MAX_NAME_LENGTH = 63
--- a/src/berylturn/version/view.py
+++ b/src/berylturn/version/view.py
@@ -63,7 +63,8 @@
 class View:
     """Hold what one balancer knows, and build placement tables on demand."""
 
-    store: ObjectStore = field(default_factory=ObjectStore)
+    store: ObjectStore = field(default_factory=lambda: ObjectStore(_is_valid))
+    revision: int = 0
     _labels: dict[str, dict[str, str]] = field(default_factory=dict)
     _data_centres: dict[str, dict[str, str]] = field(default_factory=dict)
     _services: dict[str, Service] = field(default_factory=dict)
@@ -89,7 +90,9 @@
 
     def apply(self, objects: Iterable[ConfigObject]) -> list[ConfigChange]:
         """Merge objects and put the valid ones in force."""
-        return [self._apply_one(item) for item in self.store.merge(objects)]
+        changed = self.store.merge(objects)
+        self.revision += len(changed)
+        return [self._apply_one(item) for item in changed]
 
     def set_agent(self, member: MemberState) -> None:
         """Put the state of one agent in force."""
@@ -108,6 +111,13 @@
         for name in changed:
             self._invalidate(name)
 
+    def shared_addresses(self) -> dict[str, list[str]]:
+        """Return the addresses that several services name, with the services."""
+        by_address: dict[str, list[str]] = {}
+        for name, entry in sorted(self._services.items()):
+            by_address.setdefault(entry.selector.address, []).append(name)
+        return {a: names for a, names in by_address.items() if len(names) > 1}
+
     def data_centre_out(self, name: str) -> bool:
         """Tell whether a data centre is taken out."""
         return self._data_centres.get(name, {}).get("state") == "out"
@@ -144,8 +154,7 @@
         names = [SERVER_PREFIX + server, DATA_CENTRE_PREFIX + data_centre]
         services = sorted({*self.services_of(server), *held})
         names += [SELECTOR_PREFIX + name for name in services]
-        found = [self.store.get(name) for name in names]
-        return [item for item in found if item is not None]
+        return [item for name in names for item in self.store.forms(name)]
 
     def explain(self, service: str) -> list[Explanation]:
         """Return how each matching backend server takes part in a service."""
@@ -173,54 +182,47 @@
         return Explanation(name, agent.data_centre, shares.get(name, 0.0), verdict)
 
     def _apply_one(self, item: ConfigObject) -> ConfigChange:
-        kind, _, name = item.name.partition("/")
+        """Put an object in force, unless it is invalid."""
         try:
-            if kind + "/" == SERVER_PREFIX:
-                self._apply_labels(name, item)
-            elif kind + "/" == DATA_CENTRE_PREFIX:
-                self._apply_data_centre(name, item)
-            elif kind + "/" == SELECTOR_PREFIX:
-                self._apply_selector(name, item)
+            parsed = _parse_object(item)
         except SelectorError as error:
             change = ConfigChange(item.name, item.version, str(error))
             self._problems[item.name] = change
             return change
-        self._problems.pop(item.name, None)
+        if self.store.version(item.name) == item.version:
+            self._problems.pop(item.name, None)
+        kind, _, name = item.name.partition("/")
+        if kind == "server":
+            self._apply_labels(name, parsed)
+        elif kind == "data-centre":
+            self._apply_data_centre(name, parsed)
+        elif kind == "selector":
+            self._apply_selector(name, item.version, parsed)
         return ConfigChange(item.name, item.version)
 
-    def _apply_labels(self, server: str, item: ConfigObject) -> None:
-        if item.body is None:
+    def _apply_labels(self, server: str, labels: dict[str, str] | None) -> None:
+        if labels is None:
             self._labels.pop(server, None)
         else:
-            self._labels[server] = parse_labels(item.body, SERVER_STATES)
+            self._labels[server] = labels
         self._match_server(server)
         self._invalidate(server)
 
-    def _apply_data_centre(self, name: str, item: ConfigObject) -> None:
-        if item.body is None:
+    def _apply_data_centre(self, name: str, labels: dict[str, str] | None) -> None:
+        if labels is None:
             self._data_centres.pop(name, None)
         else:
-            self._data_centres[name] = parse_labels(item.body, DATA_CENTRE_STATES)
+            self._data_centres[name] = labels
         for entry in self._services.values():
             entry.table = None
 
-    def _apply_selector(self, name: str, item: ConfigObject) -> None:
-        if item.body is None:
-            self._drop_service(name)
-            return
-        selector = parse_selector(item.body)
-        if selector.service != name:
-            raise SelectorError(f"object {name} holds service {selector.service}")
-        for other in self._services.values():
-            if other.selector.address == selector.address and (
-                other.selector.service != name
-            ):
-                raise SelectorError(
-                    f"address {selector.address} belongs to service "
-                    f"{other.selector.service}; choose another"
-                )
+    def _apply_selector(
+        self, name: str, version: int, selector: Selector | None
+    ) -> None:
         self._drop_service(name)
-        entry = Service(selector, item.version)
+        if selector is None:
+            return
+        entry = Service(selector, version)
         entry.servers = {n for n, lab in self._labels.items() if selector.matches(lab)}
         self._services[name] = entry
         for server in entry.servers:
@@ -274,6 +276,38 @@
         return agent.status == Status.ALIVE and agent.name not in self._unreachable
 
 
+def _parse_object(item: ConfigObject) -> Selector | dict[str, str] | None:
+    """Return the content of an object, None when it is deleted.
+
+    Raises
+    ------
+    SelectorError
+        The object cannot be in force.
+    """
+    if item.body is None:
+        return None
+    if item.name.startswith(SERVER_PREFIX):
+        return parse_labels(item.body, SERVER_STATES)
+    if item.name.startswith(DATA_CENTRE_PREFIX):
+        return parse_labels(item.body, DATA_CENTRE_STATES)
+    if not item.name.startswith(SELECTOR_PREFIX):
+        return None
+    selector = parse_selector(item.body)
+    if SELECTOR_PREFIX + selector.service != item.name:
+        raise SelectorError(
+            f"{item.name} holds service {selector.service}; give both one name"
+        )
+    return selector
+
+
+def _is_valid(item: ConfigObject) -> bool:
+    try:
+        _parse_object(item)
+    except SelectorError:
+        return False
+    return True
+
+
 def _candidate_shares(table: PlacementTable) -> dict[str, float]:
     total = sum(choice.share for choice in table.choices)
     shares = {}
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import json
 import unittest
 
-from berylturn_standins.deployment import BalancerPlan, Deployment, Plan
+from berylturn_standins.deployment import HOST, BalancerPlan, Deployment, Plan
 
 TARGET = "data-centre/patan-hall"
 
@@ -79,6 +80,51 @@
         self.assertEqual(status, 1)
         self.assertIn("belongs to service booking", output)
 
+    async def write_selector(self, service):
+        path = self.deployment.folder / f"{service}.ini"
+        path.write_text(
+            f"[selector]\nservice = {service}\naddress = {HOST}:9\nmatch = app=x\n"
+        )
+        return str(path)
+
+    async def test_two_services_race_for_one_address(self):
+        paths = [await self.write_selector(name) for name in ("booking", "media")]
+        await self.switch(delay=0.5)
+        calls = [self.deployment.tool("selector", "apply", path) for path in paths]
+        results = await asyncio.gather(*calls)
+        await self.switch(delay=0.0)
+        statuses = [status for status, _ in results]
+        self.assertEqual(statuses.count(0), 1, results)
+        _, output = await self.deployment.tool("selector", "list", "--json")
+        winner = ("booking", "media")[statuses.index(0)]
+        self.assertEqual(list(json.loads(output)), [f"selector/{winner}"])
+
+    async def test_claim_of_a_tool_that_died_can_be_freed(self):
+        body = base64.b64encode(b'{"service": "media"}').decode()
+        content = {"body": body, "expected": 0, "change_id": "x"}
+        url = f"{self.deployment.platform_url}/objects/address%2F{HOST}:9"
+        async with self.deployment.http.put(url, json=content) as response:
+            self.assertEqual(response.status, 200)
+        path = await self.write_selector("booking")
+        status, output = await self.deployment.tool("selector", "apply", path)
+        self.assertEqual(status, 1)
+        self.assertIn("`berylturn selector remove media`", output)
+        freed = await self.deployment.tool("selector", "remove", "media", "--wait")
+        self.assertEqual(freed[0], 0, freed)
+        applied = await self.deployment.tool("selector", "apply", path, "--wait")
+        self.assertEqual(applied[0], 0, applied)
+
+    async def test_an_address_that_a_selector_leaves_is_free(self):
+        await self.deployment.apply_selector("booking")
+        first = (self.deployment.folder / "booking.ini").read_text()
+        await self.deployment.tool(
+            "selector", "apply", await self.write_selector("booking")
+        )
+        path = self.deployment.folder / "media.ini"
+        path.write_text(first.replace("booking", "media"))
+        status, output = await self.deployment.tool("selector", "apply", str(path))
+        self.assertEqual(status, 0, output)
+
     async def test_selector_that_matches_nothing_is_accepted_with_a_warning(self):
         await self.deployment.apply_selector("booking")
         path = str(self.deployment.folder / "booking.ini")
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
+from datetime import timedelta
+
+from nose2.tools import params
 
 from berylturn.connection.frames import ConfigObject
-from berylturn.errors import ObjectNotFound, PlatformUnavailable, VersionConflict
+from berylturn.errors import (
+    ChangeUnknown,
+    ObjectNotFound,
+    PlatformUnavailable,
+    VersionConflict,
+)
+from berylturn.process.platform import HttpPlatform
 from berylturn.process.succession import claim_snapshot
 
 FOUND = ConfigObject("handover/desk", 7, b"state")
@@ -44,6 +54,52 @@
         return value
 
 
+class ScriptedPlatform(HttpPlatform):
+    """Answer each call as told; an error stands for its call."""
+
+    def __init__(self, *replies):
+        super().__init__("http://127.0.0.1:1", timedelta(seconds=1))
+        self._replies = list(replies)
+
+    async def _call(self, method, path, content=None, extra_wait=0.0):
+        reply = self._replies.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        if content is not None and reply == "took effect":
+            self._replies.insert(0, stored(9, content["change_id"]))
+            raise PlatformUnavailable("the answer was lost")
+        return reply
+
+
+def stored(version, change_id="theirs"):
+    return {"name": "a", "version": version, "body": "", "change_id": change_id}
+
+
+LOST = PlatformUnavailable("no answer")
+CONFLICT = VersionConflict("another version")
+
+
+class Writes(unittest.TestCase):
+    """What is reported of a conditional write over version 7."""
+
+    @params(
+        ([{"version": 8}], 8),
+        (["took effect"], 9),
+        ([LOST, stored(7), {"version": 8}], 8),
+        ([LOST, stored(8)], ChangeUnknown),
+        ([LOST, stored(7), CONFLICT, stored(8)], ChangeUnknown),
+        ([CONFLICT, stored(8)], VersionConflict),
+    )
+    def test_reports(self, replies, expected):
+        platform = ScriptedPlatform(*replies)
+        if isinstance(expected, int):
+            self.assertEqual(asyncio.run(platform.put("a", b"", 7)), expected)
+            return
+        with self.assertRaises(VersionConflict) as caught:
+            asyncio.run(platform.put("a", b"", 7))
+        self.assertIs(type(caught.exception), expected)
+
+
 class Claims(unittest.IsolatedAsyncioTestCase):
     """One successor gets the snapshot, or none does."""
 
