Prove moved servers, lossy links and a slow or forgetful platform

The tool asked only the balancers in the directory, and the newcomer was not in it yet. The tool's own calls timed out at 5 s. A test counted admissions before the log lines were written, so it could not fail; it now waits for all of its flows to be accounted for.

Six scenarios added.

--- a/src/berylturn/cli.py
+++ b/src/berylturn/cli.py
@@ -42,8 +42,8 @@
 
 CLOCK = SystemClock()
 PLATFORM_VARIABLE = "BERYLTURN_PLATFORM"
-TIMEOUT = timedelta(seconds=5)
-WAIT_SECONDS = 15.0
+TIMEOUT = timedelta(seconds=15)
+WAIT_SECONDS = 30.0
 POLL_SECONDS = 0.1
 EXIT_FAILED = 1
 EXIT_CONFLICT = 2
@@ -101,20 +101,23 @@
             await asyncio.sleep(POLL_SECONDS)
 
     async def _behind(self, name: str, version: int) -> list[str]:
-        balancers = await self.balancers()
-        calls = [
-            self._check(node, target, name, version)
-            for node, target in balancers.items()
-        ]
-        replies = dict(zip(balancers, await asyncio.gather(*calls), strict=True))
+        replies = await self._check_all(await self.balancers(), name, version)
         answers = [r for r in replies.values() if isinstance(r, StatusReply)]
-        seen_alive = {m.name for answer in answers for m in answer.balancers}
+        alive = {m.name: m.control for answer in answers for m in answer.balancers}
+        unlisted = {n: target for n, target in alive.items() if n not in replies}
+        replies |= await self._check_all(unlisted, name, version)
         return [
             _describe_lag(node, reply)
             for node, reply in replies.items()
-            if (node in seen_alive or not answers) and _is_behind(reply, version)
+            if (node in alive or not answers) and _is_behind(reply, version)
         ]
 
+    async def _check_all(
+        self, balancers: dict[str, str], name: str, version: int
+    ) -> dict[str, StatusReply | ControlError]:
+        calls = [self._check(n, t, name, version) for n, t in balancers.items()]
+        return dict(zip(balancers, await asyncio.gather(*calls), strict=True))
+
     async def _check(
         self, node: str, target: str, name: str, version: int
     ) -> StatusReply | ControlError:
@@ -211,15 +214,17 @@
 async def _apply_selector(tool: _Tool, file: str, wait: bool) -> None:
     body = _read_selector_file(file)
     selector = parse_selector(body)
-    await _check_address_is_free(tool, selector.service, selector.address)
     name = SELECTOR_PREFIX + selector.service
-    expected = await current_version(tool.platform, name)
-    claims = await list_claims(tool.platform, selector.service)
+    _, expected, claims, matched = await asyncio.gather(
+        _check_address_is_free(tool, selector.service, selector.address),
+        current_version(tool.platform, name),
+        list_claims(tool.platform, selector.service),
+        _count_matches(tool, selector),
+    )
     await claim_address(tool.platform, selector.service, selector.address)
     version = await tool.platform.put(name, body, expected)
     claims.pop(selector.address, None)
     await release_claims(tool.platform, claims)
-    matched = await _count_matches(tool, selector)
     if not matched:
         print("warning: the selector matches no backend server yet", file=sys.stderr)
     if wait:
--- a/src/berylturn_standins/backend.py
+++ b/src/berylturn_standins/backend.py
@@ -30,6 +30,8 @@
 
     Attributes
     ----------
+    services : tuple of str
+        What the server can serve; anything else that reaches it has crossed.
     slots, cold_limit, connections : int
         Requests at once when warm and when cold; connections at once.
     speed : float
@@ -38,7 +40,7 @@
         Time in cold start after each start.
     """
 
-    service: str
+    services: tuple[str, ...]
     slots: int
     cold_limit: int
     connections: int
@@ -239,7 +241,7 @@
 
     def _belongs(self, request: web.Request, body: dict) -> bool:
         named = request.headers.get("Berylturn-Service")
-        mine = named == self._shape.service and body["service"] == named
+        mine = named in self._shape.services and body["service"] == named
         if not mine:
             self.crossed += 1
         return mine
@@ -250,7 +252,7 @@
 
 
 def main(
-    service: str,
+    services: str,
     host: str = "127.0.0.1",
     port: int = 8100,
     slots: int = 3,
@@ -259,8 +261,9 @@
     speed: float = 1.0,
     cold_seconds: float = 1.0,
 ) -> None:
-    """Serve until SIGTERM."""
-    shape = Shape(service, slots, cold_limit, connections, speed, cold_seconds)
+    """Serve until SIGTERM; `services` are separated by ``+``."""
+    names = tuple(services.split("+"))
+    shape = Shape(names, slots, cold_limit, connections, speed, cold_seconds)
 
     async def start() -> BackendStandIn:
         server = BackendStandIn(shape)
--- a/src/berylturn_standins/deployment.py
+++ b/src/berylturn_standins/deployment.py
@@ -43,7 +43,15 @@
 
 @dataclass(frozen=True)
 class ServerPlan:
-    """Describe one backend server and its agent."""
+    """Describe one backend server and its agent.
+
+    Attributes
+    ----------
+    service : str
+        Service of its first label.
+    other_services : tuple of str
+        What it can serve besides, once its label says so.
+    """
 
     name: str
     service: str
@@ -55,6 +63,7 @@
     connections: int = 2000
     proxied: bool = False
     backend_proxied: bool = False
+    other_services: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -149,7 +158,7 @@
         sections = {
             "node": {"name": plan.name, "data_centre": plan.data_centre},
             "listen": {key: f"{HOST}:{port}" for key, port in ports.items()},
-            "platform": {"url": self.platform_url, "timeout": "2s"},
+            "platform": {"url": self.platform_url},
             "keys": {"current": KEY},
             "fabric": {"control": f"{HOST}:{fabric}"},
             "peers": {"seeds": self._seeds()},
@@ -175,7 +184,7 @@
             {"http": port},
             "-m",
             "berylturn_standins.backend",
-            plan.service,
+            "+".join((plan.service, *plan.other_services)),
             f"--port={port}",
             f"--slots={plan.slots}",
             f"--cold_limit={plan.cold_limit}",
@@ -198,7 +207,7 @@
             "node": {"name": plan.name, "data_centre": plan.data_centre},
             "listen": {"peers": f"{HOST}:{ports['peers']}"},
             "backend": {"url": f"http://{HOST}:{backend}"},
-            "platform": {"url": self.platform_url, "timeout": "2s"},
+            "platform": {"url": self.platform_url},
             "keys": {"current": KEY},
             "agent": {
                 "announce": "300ms",
--- a/src/berylturn_standins/scenarios.py
+++ b/src/berylturn_standins/scenarios.py
@@ -138,6 +138,30 @@
     await asyncio.sleep(SETTLE_SECONDS)
 
 
+async def move_server(deployment: Deployment, service: str) -> None:
+    """Label a backend server for another service; one balancer learns it late."""
+    server = deployment.plan.servers[0].name
+    late = deployment.plan.balancers[0].name
+    await deployment.signal(late, signal.SIGSTOP)
+    status, output = await deployment.tool(
+        "label", "set", f"server/{server}", f"app={service}"
+    )
+    if status != 0:
+        raise AssertionError(output)
+    await asyncio.sleep(SETTLE_SECONDS)
+    await deployment.signal(late, signal.SIGCONT)
+    await deployment.wait_servers(service, 1)
+
+
+async def disturb_all_links(deployment: Deployment) -> None:
+    """Lose, duplicate and reorder datagrams on every link for a while."""
+    proxies = [name for name in deployment.processes if name.endswith("-proxy")]
+    faults = {"drop": 0.05, "duplicate": 0.05, "reorder": 0.05}
+    for name in proxies:
+        await deployment.post(name, "/_faults", faults)
+    await asyncio.sleep(5 * SETTLE_SECONDS)
+
+
 async def take_data_centre_out(deployment: Deployment) -> None:
     """Take one data centre out and bring it back."""
     centre = deployment.plan.servers[0].data_centre
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -41,7 +41,7 @@
 CALLER = (HOST, 1)
 BALANCER = (HOST, 2)
 SHAPE = Shape(
-    "booking", slots=3, cold_limit=1, connections=99, speed=1.0, cold_seconds=0.1
+    ("booking",), slots=3, cold_limit=1, connections=99, speed=1.0, cold_seconds=0.1
 )
 
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import unittest
+from collections import Counter
+from dataclasses import replace
 from datetime import timedelta
 
 from berylturn.caller import Caller
@@ -39,10 +41,22 @@
     return Plan([SERVICE], servers, balancers, loss=loss)
 
 
-def count_admitted(deployment: Deployment, server: str) -> int:
-    """Return how many flows the agent of a server has admitted."""
-    lines = deployment.log_lines(f"{server}-agent")
-    return sum(line["event"] == "admitted" for line in lines)
+async def place_flows(deployment: Deployment, service: str, count: int) -> Counter:
+    """Open some flows and return how many each backend server admitted."""
+    async with Caller(deployment.entry(service)) as caller:
+        flows = await asyncio.gather(*(caller.open(service) for _ in range(count)))
+        wanted = {flow.flow_id.hex() for flow in flows}
+        placed: dict[str, str] = {}
+
+        async def logged() -> bool:
+            for server in deployment.plan.servers:
+                for line in deployment.log_lines(f"{server.name}-agent"):
+                    if line["event"] == "admitted" and line["flow"] in wanted:
+                        placed[line["flow"]] = server.name
+            return len(placed) == count
+
+        await deployment.wait_until(logged, f"{count} admissions in the logs")
+    return Counter(placed.values())
 
 
 def count_packets(statsd: StatsdStandIn) -> int:
@@ -101,6 +115,44 @@
     async def test_shares_changed(self):
         await self.check_planned(scenarios.change_shares)
 
+    async def test_server_moved_to_another_service(self):
+        other = "media"
+        plan = build_plan()
+        plan.services.append(other)
+        plan.servers[0] = replace(plan.servers[0], other_services=(other,))
+        moved = plan.servers[0].name
+        found = []
+
+        async def move(deployment):
+            await deployment.apply_selector(other)
+            await scenarios.move_server(deployment, other)
+            await asyncio.sleep(scenarios.SETTLE_SECONDS)
+            for service in (SERVICE, other):
+                placed = await place_flows(deployment, service, 20)
+                found.append(placed[moved])
+            async with BackgroundLoad(deployment, LoadShape(other, "m", streams=0)):
+                await asyncio.sleep(scenarios.SETTLE_SECONDS)
+
+        await self.check_planned(move, plan)
+        self.assertEqual(found, [0, 20])
+
+    async def test_speed_label_changed(self):
+        faster = build_plan().servers[0].name
+        found = []
+
+        async def speed_up(deployment):
+            await scenarios.set_label(deployment, f"server/{faster}", "speed=9")
+            placed = await place_flows(deployment, SERVICE, 120)
+            found.append(placed[faster])
+
+        await self.check_planned(speed_up)
+        self.assertGreater(found[0], 60)
+
+    async def test_every_link_loses_doubles_and_reorders(self):
+        await self.check_planned(
+            scenarios.disturb_all_links, build_plan(proxied=True, loss=5.0)
+        )
+
     async def test_server_drained(self):
         await self.check_planned(scenarios.drain_server)
 
@@ -152,10 +204,8 @@
 
         async def drain(deployment):
             await scenarios.drain_while_balancers_change(deployment)
-            before = count_admitted(deployment, "desk-0")
-            async with Caller(deployment.entry(SERVICE)) as caller:
-                await asyncio.gather(*(caller.open(SERVICE) for _ in range(40)))
-            admitted.append(count_admitted(deployment, "desk-0") - before)
+            placed = await place_flows(deployment, SERVICE, 40)
+            admitted.append(placed["desk-0"])
 
         await self.check_planned(drain)
         self.assertEqual(admitted, [0])
@@ -204,10 +254,49 @@
         await self.check_local(scenarios.take_data_centre_out)
 
     async def test_agent_replaced_with_slow_platform(self):
+        await self.check_slow_replacement(delay=1.0)
+
+    async def test_agent_replaced_with_very_slow_platform(self):
+        await self.check_slow_replacement(delay=5.0)
+
+    async def check_slow_replacement(self, delay):
         async def replace_slowly(deployment):
-            await deployment.post("platform", "/_switches", {"delay": 1.0})
-            await scenarios.replace_agent(deployment, deployment.plan.servers[0])
-            await asyncio.sleep(4.0)
+            await deployment.post("platform", "/_switches", {"delay": delay})
+            server = deployment.plan.servers[0]
+            await scenarios.replace_agent(deployment, server)
+
+            async def taken_over() -> bool:
+                lines = deployment.log_lines(f"{server.name}-agent")
+                return any(line["event"] == "took_over" for line in lines)
 
-        shape = LoadShape(SERVICE, deadline=timedelta(seconds=20))
+            await deployment.wait_until(taken_over, "the hand-over")
+
+        shape = LoadShape(SERVICE, deadline=timedelta(seconds=60))
         await self.check_planned(replace_slowly, shape=shape)
+
+    async def test_changes_with_a_platform_that_takes_5_s(self):
+        found = []
+
+        async def change_slowly(deployment):
+            await deployment.post("platform", "/_switches", {"delay": 5.0})
+            drained = deployment.plan.servers[0].name
+            await asyncio.gather(
+                scenarios.set_label(deployment, f"server/{drained}", "state=drain"),
+                scenarios.replace_balancers(deployment),
+            )
+            placed = await place_flows(deployment, SERVICE, 40)
+            found.append(placed[drained])
+
+        await self.check_planned(change_slowly)
+        self.assertEqual(found, [0])
+
+    async def test_answers_of_the_platform_lost(self):
+        async def change_with_lost_answers(deployment):
+            await deployment.post("platform", "/_switches", {"lose_answers": 2})
+            await scenarios.replace_agent(deployment, deployment.plan.servers[1])
+            await deployment.post("platform", "/_switches", {"lose_answers": 2})
+            await scenarios.take_data_centre_out(deployment)
+
+        verdict = await self.play(change_with_lost_answers)
+        self.assertEqual(set(verdict.endings), {"data_centre_out"})
+        self.assertLess(verdict.longest_gap, 3.0)
