Serve waiting requests by deadline instead of by arrival

Change: the queue serves the earliest deadline and admits a newcomer only when all that wait can still finish.

Conclusion: feasible deadline order kept.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LOSS ?= 0
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test lint format setup measure measure-all slopes
+.PHONY: demo test lint format setup measure measure-all queue-orders slopes
 
 setup: $(STAMP)
 
@@ -38,5 +38,8 @@
 measure-all: setup
 	$(BIN)/python -m bench.measure_all
 
+queue-orders: setup
+	$(BIN)/python -m bench.queue_orders
+
 slopes: setup
 	$(BIN)/python -m bench.slopes
--- a/src/berylturn/request/execution.py
+++ b/src/berylturn/request/execution.py
@@ -102,7 +102,7 @@
         """Tell whether a request that was started may be written now.
 
         Between its start and the moment that a connection is ready the server may
-        have fallen back into cold start; then the request waits again.
+        have fallen back into cold start; then the request waits again, by its deadline.
         """
         key = (flow_id, number)
         work = self._work[key]
@@ -246,7 +246,7 @@
                 flow.ledger.withdraw(key[1])
             return
         work.waiting = Waiting(*key, work.request.deadline)
-        self._queue.push_front(work.waiting)
+        self._queue.push(work.waiting)
 
     def _refuse_waiting(
         self, waiting: Waiting, reason: RefusalReason, now: float
--- a/src/berylturn/request/queue.py
+++ b/src/berylturn/request/queue.py
@@ -1,8 +1,8 @@
-"""Short queue in front of a backend server, bounded by deadlines."""
+"""Short queue in front of a backend server, ordered and bounded by deadlines."""
 
 from __future__ import annotations
 
-from collections import deque
+from bisect import insort
 from dataclasses import dataclass
 
 WAIT_MARGIN = 1.1
@@ -27,17 +27,25 @@
 
 
 class RequestQueue:
-    """Hold requests in order of arrival.
+    """Hold requests, the earliest deadline first.
 
     Parameters
     ----------
     max_length : int
         Requests that may wait at once.
+
+    Examples
+    --------
+    >>> queue = RequestQueue(max_length=8)
+    >>> queue.push(Waiting(b"reel", 0, deadline=10.0))
+    >>> queue.push(Waiting(b"score", 0, deadline=0.5))
+    >>> queue.pop().flow_id
+    b'score'
     """
 
     def __init__(self, max_length: int) -> None:
         self._max_length = max_length
-        self._waiting: deque[Waiting] = deque()
+        self._waiting: list[Waiting] = []
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -50,12 +58,12 @@
     def accepts(
         self, deadline: float, now: float, service_seconds: float, limit: int
     ) -> bool:
-        """Tell whether a request can be expected to finish by its deadline.
+        """Tell whether all that wait can finish with a newcomer among them.
 
         Parameters
         ----------
         deadline, now : float
-            Seconds on the monotonic clock.
+            Seconds on the monotonic clock; the deadline is the newcomer's.
         service_seconds : float
             Expected seconds that one request runs.
         limit : int
@@ -63,28 +71,31 @@
         """
         if len(self._waiting) >= self._max_length:
             return False
-        ahead = len(self._waiting) / max(limit, 1)
-        return now + WAIT_MARGIN * (ahead + 1) * service_seconds <= deadline
+        sooner = [w.deadline for w in self._waiting if w.deadline <= deadline]
+        later = [w.deadline for w in self._waiting if w.deadline > deadline]
+        step = WAIT_MARGIN * service_seconds
+        return all(
+            now + step * (place / max(limit, 1) + 1) <= due
+            for place, due in enumerate([deadline, *later], start=len(sooner))
+        )
 
     def push(self, waiting: Waiting) -> None:
-        """Add a request at the end."""
-        self._waiting.append(waiting)
-
-    def push_front(self, waiting: Waiting) -> None:
-        """Put back a request that was taken out, whatever the length."""
-        self._waiting.appendleft(waiting)
+        """Add a request behind those whose deadline is not later."""
+        insort(self._waiting, waiting, key=lambda w: w.deadline)
 
     def pop(self) -> Waiting | None:
         """Return the next request, or None when the queue is empty."""
         while self._waiting:
-            waiting = self._waiting.popleft()
+            waiting = self._waiting.pop(0)
             if not waiting.cancelled:
                 return waiting
         return None
 
     def expire(self, now: float) -> list[Waiting]:
         """Remove and return the requests whose deadline has passed."""
-        expired = [w for w in self._waiting if w.deadline <= now and not w.cancelled]
-        if expired:
-            self._waiting = deque(w for w in self._waiting if w.deadline > now)
+        expired = []
+        while self._waiting and self._waiting[0].deadline <= now:
+            waiting = self._waiting.pop(0)
+            if not waiting.cancelled:
+                expired.append(waiting)
         return expired
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -36,6 +36,7 @@
 from berylturn.connection.siblings import Siblings
 from berylturn.connection.token import RouteToken, issue_token
 from berylturn.process.homes import Homes
+from berylturn.request.queue import RequestQueue, Waiting
 from berylturn.request.retry import Failure, RetryBudget, decide_retry
 from berylturn.version.placement import place_flow, rank_candidates
 from berylturn.version.view import View
@@ -334,6 +335,33 @@
         self.assertEqual(found, [None] * 5 + [RefusalReason.FULL])
 
 
+class Waits(unittest.TestCase):
+    """Requests in front of a server that runs one at a time for one second."""
+
+    @params(
+        ([], 1.0, False),
+        ([], 1.2, True),
+        ([1.2], 2.1, False),
+        ([1.2], 2.3, True),
+        ([1.2], 1.15, False),
+        ([5.0], 1.2, True),
+        ([9.0] * 8, 9.0, False),
+    )
+    def test_a_newcomer_makes_nobody_late(self, waiting, deadline, accepted):
+        queue = RequestQueue(8)
+        for due in waiting:
+            queue.push(Waiting(b"", 0, due))
+        self.assertEqual(queue.accepts(deadline, 0.0, 1.0, 1), accepted)
+
+    def test_the_earliest_deadline_is_next(self):
+        queue = RequestQueue(8)
+        for number, due in enumerate((3.0, 1.0, 2.0, 1.0, 0.5)):
+            queue.push(Waiting(b"", number, due))
+        self.assertEqual([w.number for w in queue.expire(0.7)], [4])
+        order = [queue.pop().number for _ in range(4)]
+        self.assertEqual(order, [1, 3, 2, 0])
+
+
 class Breaks(unittest.TestCase):
     """Pauses for a server that ends requests without an answer."""
 
