Let streams hold back no low-water mark, and split the caller's flow

Cause: on reading. A stream that stays open kept the low-water mark of its flow at its own number, so the agent kept up to 256 outcomes of every flow with an open stream, instead of those that are awaited.

Change: the mark is that of awaited requests alone.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -28,14 +28,7 @@
 from berylturn.process.platform import HttpPlatform, write_object
 from berylturn_standins import scenarios
 from berylturn_standins.backend import answer_body
-from berylturn_standins.deployment import (
-    HOST,
-    BalancerPlan,
-    Deployment,
-    Plan,
-    ServerPlan,
-    free_port,
-)
+from berylturn_standins.deployment import Deployment
 from berylturn_standins.load import (
     RequestPlan,
     StreamTally,
@@ -44,6 +37,8 @@
     count_false_not_run,
     follow_stream,
 )
+from berylturn_standins.plan import BalancerPlan, Plan, ServerPlan
+from berylturn_standins.ports import HOST, free_port
 from berylturn_standins.statsd import StatsdStandIn
 
 from .baseline import VARIABLE
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -48,8 +48,9 @@
 from berylturn.request.queue import RequestQueue
 from berylturn.version.view import View
 from berylturn_standins import scenarios
-from berylturn_standins.deployment import BalancerPlan, Deployment, Plan, ServerPlan
+from berylturn_standins.deployment import Deployment
 from berylturn_standins.load import RequestPlan, Tally, run_session
+from berylturn_standins.plan import BalancerPlan, Plan, ServerPlan
 
 KEYS = KeyRing(parse_key("1:" + "aa" * 16))
 CALLER = ("127.0.0.1", 40_000)
--- a/src/berylturn/connection/caller_flow.py
+++ b/src/berylturn/connection/caller_flow.py
@@ -6,12 +6,13 @@
 import secrets
 from collections import Counter
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Protocol
 
-from ..errors import FlowEnded, NotRun, OutcomeUnknown
+from ..errors import FlowEnded, OutcomeUnknown
 from ..process.clock import Clock
+from .exchange import Answer, Exchange
+from .inbox import StreamInbox
 from .packets import (
     FLOW_ID_BYTES,
     Accepted,
@@ -32,7 +33,7 @@
     StreamState,
     encode_packet,
 )
-from .parts import WINDOW_PARTS, Assembly, split_body
+from .parts import split_body
 
 FIRST_RETRANSMIT_SECONDS = 0.1
 MAX_RETRANSMIT_SECONDS = 0.5
@@ -47,39 +48,6 @@
 DEFAULT_DEADLINE = timedelta(seconds=5)
 
 
-@dataclass(frozen=True)
-class Answer:
-    """Whole answer to one request."""
-
-    status: int
-    body: bytes
-
-
-@dataclass
-class _Pending:
-    """One request that waits for its outcome."""
-
-    packets: list[bytes]
-    done: asyncio.Future[Answer]
-    assembly: Assembly | None = None
-    status: int = 0
-    asked_until: int = WINDOW_PARTS
-    part_at: float = 0.0
-
-
-@dataclass
-class _StreamInbox:
-    """Items of one stream, put in order."""
-
-    packet: bytes
-    queue: asyncio.Queue[bytes | None] = field(default_factory=asyncio.Queue)
-    next_sequence: int = 0
-    early: dict[int, bytes] = field(default_factory=dict)
-    total: int = 0
-    ended: bool = False
-    heard: bool = False
-
-
 class FlowSocket(Protocol):
     """What a flow needs from the owner of its socket."""
 
@@ -121,8 +89,8 @@
         self._token = b""
         self._incarnation = 0
         self._number = 0
-        self._pending: dict[int, _Pending] = {}
-        self._streams: dict[int, _StreamInbox] = {}
+        self._pending: dict[int, Exchange] = {}
+        self._streams: dict[int, StreamInbox] = {}
         self._opened: asyncio.Future[Accepted | Refused] | None = None
         self._accepted: Accepted | None = None
         self._awaiting_since: float | None = None
@@ -171,8 +139,7 @@
         """
         self._check_usable()
         number, packets = self._number_request(body, repeatable, False, deadline)
-        future = asyncio.get_running_loop().create_future()
-        pending = self._pending[number] = _Pending(packets, future)
+        pending = self._pending[number] = Exchange(packets)
         try:
             return await self._exchange(number, pending, deadline.total_seconds())
         finally:
@@ -188,13 +155,10 @@
         """
         self._check_usable()
         number, packets = self._number_request(body, True, True, timedelta())
-        inbox = self._streams[number] = _StreamInbox(packets[0])
+        inbox = self._streams[number] = StreamInbox(packets[0])
         self._send_bytes(packets[0])
         try:
-            while True:
-                item = await inbox.queue.get()
-                if item is None:
-                    break
+            async for item in inbox.items():
                 yield item
             if not inbox.ended:
                 raise FlowEnded(
@@ -288,9 +252,10 @@
         return number, packets
 
     def _low_water(self, default: int) -> int:
-        return min([*self._pending, *self._streams, default])
+        """Return the lowest awaited request; streams, which last, hold nothing back."""
+        return min([*self._pending, default])
 
-    async def _exchange(self, number: int, pending: _Pending, seconds: float) -> Answer:
+    async def _exchange(self, number: int, pending: Exchange, seconds: float) -> Answer:
         deadline = self._clock.monotonic() + seconds
         delay = FIRST_RETRANSMIT_SECONDS
         self._send_request(pending)
@@ -301,11 +266,11 @@
                 raise OutcomeUnknown(
                     "no answer before the deadline; check before you send it again"
                 )
-            wait = PARTS_PAUSE_SECONDS if pending.assembly else delay
+            wait = PARTS_PAUSE_SECONDS if pending.answering else delay
             done, _ = await asyncio.wait([pending.done], timeout=min(wait, remaining))
             if done:
                 return pending.done.result()
-            if pending.assembly is not None:
+            if pending.answering:
                 self._ask_missing(number, pending)
             else:
                 delay = min(2 * delay, MAX_RETRANSMIT_SECONDS)
@@ -313,14 +278,13 @@
                 self._send_request(pending)
             self._check_silence()
 
-    def _send_request(self, pending: _Pending) -> None:
+    def _send_request(self, pending: Exchange) -> None:
         for data in pending.packets:
             self._send_bytes(data)
 
-    def _ask_missing(self, number: int, pending: _Pending) -> None:
-        missing = pending.assembly.missing()
+    def _ask_missing(self, number: int, pending: Exchange) -> None:
+        missing = pending.missing()
         if missing:
-            pending.asked_until = missing[-1] + 1
             self._send_bytes(encode_packet(Missing(self._token, number, missing)))
 
     def _on_opened(self, packet: Accepted | Refused) -> None:
@@ -343,60 +307,27 @@
         if pending is None or pending.done.done():
             self._caller.counters["late"] += 1
             return
-        if pending.assembly is None:
-            pending.assembly = Assembly(packet.parts)
-            pending.status = packet.status
-        if not pending.assembly.add(packet.part, packet.body):
-            return
-        if pending.assembly.complete:
-            pending.done.set_result(Answer(pending.status, pending.assembly.body()))
-        elif packet.part == pending.asked_until - 1:
+        if pending.take_part(packet):
             self._ask_missing(packet.number, pending)
 
     def _on_outcome(self, packet: Packet) -> None:
         pending = self._pending.get(packet.number)
         if pending is None or pending.done.done():
             return
-        if isinstance(packet, RequestNotRun):
-            error = NotRun(
-                f"the request did not run ({packet.reason.name.lower()}); "
-                "it may be sent again"
-            )
-            error.retry_after = packet.retry_after_ms / 1000
-            error.reason = packet.reason
-            pending.done.set_exception(error)
-        elif isinstance(packet, RequestUnknown):
-            pending.done.set_exception(_unknown("its server lost track of it"))
+        if isinstance(packet, RequestNotRun | RequestUnknown):
+            pending.take_outcome(packet)
 
     def _on_stream(self, packet: StreamItem | StreamState) -> None:
         inbox = self._streams.get(packet.number)
         if inbox is None:
             self._caller.send(Cancel(self._token, packet.number))
             return
-        inbox.heard = True
-        if isinstance(packet, StreamItem):
-            if packet.sequence >= inbox.next_sequence:
-                inbox.early[packet.sequence] = packet.body
-            inbox.total = max(inbox.total, packet.sequence + 1)
-        else:
-            inbox.total = max(inbox.total, packet.items)
-            inbox.ended = inbox.ended or packet.ended
-        self._deliver(packet.number, inbox)
-
-    def _deliver(self, number: int, inbox: _StreamInbox) -> None:
-        while inbox.next_sequence in inbox.early:
-            inbox.queue.put_nowait(inbox.early.pop(inbox.next_sequence))
-            inbox.next_sequence += 1
-        if inbox.next_sequence < inbox.total:
-            self._ask_items(number, inbox)
-        elif inbox.ended:
-            inbox.queue.put_nowait(None)
-
-    def _ask_items(self, number: int, inbox: _StreamInbox) -> None:
-        if inbox.next_sequence < inbox.total:
-            last = min(inbox.total, inbox.next_sequence + WINDOW_PARTS)
-            wanted = range(inbox.next_sequence, last)
-            missing = [s for s in wanted if s not in inbox.early]
+        inbox.take(packet)
+        self._ask_items(packet.number, inbox)
+
+    def _ask_items(self, number: int, inbox: StreamInbox) -> None:
+        missing = inbox.missing()
+        if missing:
             self._send_bytes(encode_packet(Missing(self._token, number, missing)))
 
     def _on_closed(self, reason: CloseReason) -> None:
@@ -418,15 +349,12 @@
         if self._watcher is not None:
             self._watcher.cancel()
         for pending in self._pending.values():
-            if not pending.done.done():
-                pending.done.set_exception(
-                    _unknown(f"its flow ended ({reason.name.lower()})")
-                )
+            pending.lose(f"its flow ended ({reason.name.lower()})")
         self._end_streams()
 
     def _end_streams(self) -> None:
         for inbox in self._streams.values():
-            inbox.queue.put_nowait(None)
+            inbox.close()
 
     def _send_bytes(self, data: bytes) -> None:
         if self._awaiting_since is None:
@@ -458,8 +386,8 @@
             self._check_silence()
 
     def _watch_pause(self) -> float:
-        gaps = any(i.next_sequence < i.total for i in self._streams.values())
-        return GAP_RETRY_SECONDS if gaps else 2 * PING_STREAM_SECONDS
+        has_gap = any(inbox.has_gap for inbox in self._streams.values())
+        return GAP_RETRY_SECONDS if has_gap else 2 * PING_STREAM_SECONDS
 
     def _check_silence(self) -> None:
         if self._awaiting_since is None:
@@ -470,9 +398,3 @@
             self._end(CloseReason.FLOW_LOST)
         elif silent > REBIND_SILENT_SECONDS:
             self._caller.rebind()
-
-
-def _unknown(reason: str) -> OutcomeUnknown:
-    return OutcomeUnknown(
-        f"the request may have run, {reason}; check before you send it again"
-    )
--- /dev/null
+++ b/src/berylturn/connection/exchange.py
@@ -0,0 +1,92 @@
+"""One request at the caller's end: its packets, the parts of its answer, its end."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from ..errors import NotRun, OutcomeUnknown
+from .packets import AnswerPart, RequestNotRun, RequestUnknown
+from .parts import WINDOW_PARTS, Assembly
+
+
+@dataclass(frozen=True)
+class Answer:
+    """Whole answer to one request."""
+
+    status: int
+    body: bytes
+
+
+class Exchange:
+    """Collect the answer to one request.
+
+    Parameters
+    ----------
+    packets : list of bytes
+        Encoded parts of the request.
+    """
+
+    def __init__(self, packets: list[bytes]) -> None:
+        self._packets = packets
+        self._done: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self._assembly: Assembly | None = None
+        self._status = 0
+        self._asked_until = WINDOW_PARTS
+
+    @property
+    def packets(self) -> list[bytes]:
+        """Return the encoded parts of the request."""
+        return self._packets
+
+    @property
+    def done(self) -> asyncio.Future[Answer]:
+        """Return the future of the outcome."""
+        return self._done
+
+    @property
+    def answering(self) -> bool:
+        """Tell whether a part of the answer has arrived."""
+        return self._assembly is not None
+
+    def take_part(self, packet: AnswerPart) -> bool:
+        """Take one part; return whether the next window is to be asked for."""
+        if self._assembly is None:
+            self._assembly = Assembly(packet.parts)
+            self._status = packet.status
+        if not self._assembly.add(packet.part, packet.body):
+            return False
+        if self._assembly.complete:
+            self._done.set_result(Answer(self._status, self._assembly.body()))
+            return False
+        return packet.part == self._asked_until - 1
+
+    def missing(self) -> list[int]:
+        """Return the parts to ask for, at most one window."""
+        missing = self._assembly.missing()
+        if missing:
+            self._asked_until = missing[-1] + 1
+        return missing
+
+    def take_outcome(self, packet: RequestNotRun | RequestUnknown) -> None:
+        """Take the final word of the agent."""
+        if isinstance(packet, RequestUnknown):
+            self.lose("its server lost track of it")
+            return
+        error = NotRun(
+            f"the request did not run ({packet.reason.name.lower()}); "
+            "it may be sent again"
+        )
+        error.retry_after = packet.retry_after_ms / 1000
+        error.reason = packet.reason
+        self._done.set_exception(error)
+
+    def lose(self, reason: str) -> None:
+        """End with an unknown outcome, unless it has ended."""
+        if self._done.done():
+            return
+        self._done.set_exception(
+            OutcomeUnknown(
+                f"the request may have run, {reason}; check before you send it again"
+            )
+        )
--- /dev/null
+++ b/src/berylturn/connection/inbox.py
@@ -0,0 +1,89 @@
+"""Inbox of one stream at the caller's end: order, gaps, end."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from .packets import StreamItem, StreamState
+from .parts import WINDOW_PARTS
+
+
+class StreamInbox:
+    """Put the items of one stream in order and say which are missing.
+
+    Parameters
+    ----------
+    packet : bytes
+        Encoded subscription, sent again until the stream is heard.
+
+    Examples
+    --------
+    >>> inbox = StreamInbox(b"")
+    >>> inbox.take(StreamItem(b"", 1, 0, sequence=1, body=b"late"))
+    >>> inbox.missing()
+    [0]
+    """
+
+    def __init__(self, packet: bytes) -> None:
+        self._packet = packet
+        self._queue: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._next_sequence = 0
+        self._early: dict[int, bytes] = {}
+        self._total = 0
+        self._ended = False
+        self._heard = False
+
+    @property
+    def packet(self) -> bytes:
+        """Return the encoded subscription."""
+        return self._packet
+
+    @property
+    def heard(self) -> bool:
+        """Tell whether the agent has taken the subscription."""
+        return self._heard
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether the backend server has ended the stream."""
+        return self._ended
+
+    @property
+    def has_gap(self) -> bool:
+        """Tell whether items were sent that have not been delivered."""
+        return self._next_sequence < self._total
+
+    def take(self, packet: StreamItem | StreamState) -> None:
+        """Take an item or a heartbeat, and deliver what is in order."""
+        self._heard = True
+        if isinstance(packet, StreamItem):
+            if packet.sequence >= self._next_sequence:
+                self._early[packet.sequence] = packet.body
+            self._total = max(self._total, packet.sequence + 1)
+        else:
+            self._total = max(self._total, packet.items)
+            self._ended = self._ended or packet.ended
+        self._deliver()
+
+    def missing(self) -> list[int]:
+        """Return the sequence numbers to ask for, at most one window."""
+        last = min(self._total, self._next_sequence + WINDOW_PARTS)
+        wanted = range(self._next_sequence, last)
+        return [sequence for sequence in wanted if sequence not in self._early]
+
+    def close(self) -> None:
+        """End the delivery, whether or not the stream has ended."""
+        self._queue.put_nowait(None)
+
+    async def items(self) -> AsyncIterator[bytes]:
+        """Yield the items in order until the inbox is closed."""
+        while (item := await self._queue.get()) is not None:
+            yield item
+
+    def _deliver(self) -> None:
+        while self._next_sequence in self._early:
+            self._queue.put_nowait(self._early.pop(self._next_sequence))
+            self._next_sequence += 1
+        if self._ended and not self.has_gap:
+            self.close()
--- a/src/berylturn_standins/demo.py
+++ b/src/berylturn_standins/demo.py
@@ -12,7 +12,7 @@
 from berylturn.caller import Caller
 from berylturn.process.clock import SystemClock
 
-from .deployment import BalancerPlan, Deployment, Plan, ServerPlan
+from .deployment import Deployment
 from .load import (
     StreamTally,
     Tally,
@@ -21,6 +21,7 @@
     plan_requests,
     run_session,
 )
+from .plan import BalancerPlan, Plan, ServerPlan
 
 CLOCK = SystemClock()
 
--- a/src/berylturn_standins/deployment.py
+++ b/src/berylturn_standins/deployment.py
@@ -4,36 +4,26 @@
 
 import asyncio
 import configparser
-import itertools
 import json
 import os
 import signal
-import socket
 import sys
 import tempfile
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 import aiohttp
 
 from berylturn.process.clock import SystemClock
 
+from .plan import BalancerPlan, Plan, ServerPlan
+from .ports import HOST, free_port
+
 KEY = "1:000102030405060708090a0b0c0d0e0f"
 START_SECONDS = 20.0
 STOP_SECONDS = 10.0
 POLL_SECONDS = 0.05
-HOST = "127.0.0.1"
-FIRST_PORT = 10_000
-LAST_PORT = 32_000
-
-_ports = itertools.cycle(
-    [
-        FIRST_PORT + (os.getpid() * 97 + i) % (LAST_PORT - FIRST_PORT)
-        for i in range(LAST_PORT - FIRST_PORT)
-    ]
-)
-
 CLOCK = SystemClock()
 
 
@@ -41,56 +31,6 @@
     """Raise when a process does not start or an awaited state is not reached."""
 
 
-@dataclass(frozen=True)
-class ServerPlan:
-    """Describe one backend server and its agent.
-
-    Attributes
-    ----------
-    service : str
-        Service of its first label.
-    other_services : tuple of str
-        What it can serve besides, once its label says so.
-    """
-
-    name: str
-    service: str
-    data_centre: str
-    slots: int = 3
-    cold_limit: int = 1
-    speed: float = 1.0
-    cold_seconds: float = 0.5
-    connections: int = 2000
-    proxied: bool = False
-    backend_proxied: bool = False
-    other_services: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True)
-class BalancerPlan:
-    """Describe one balancer."""
-
-    name: str
-    data_centre: str
-    proxied: bool = False
-
-
-@dataclass
-class Plan:
-    """Describe a deployment; `services` are the names behind the fabric."""
-
-    services: list[str]
-    servers: list[ServerPlan]
-    balancers: list[BalancerPlan]
-    loss: float = 0.0
-    delay_ms: float = 0.0
-    seed: int = 1
-    agent_options: dict[str, str] = field(default_factory=dict)
-    statsd_port: int = 0
-    daemon: str = "berylturn.daemon"
-    environment: dict[str, str] = field(default_factory=dict)
-
-
 @dataclass
 class Running:
     """One process with the addresses that it serves."""
@@ -467,23 +407,6 @@
         return await running.process.wait()
 
 
-def free_port() -> int:
-    """Return a port that is free for UDP and TCP at the moment.
-
-    Ports that the system gives to outgoing sockets are left out, since one of
-    those could take the port before the process that it is meant for.
-    """
-    while True:
-        port = next(_ports)
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            try:
-                tcp.bind((HOST, port))
-                udp.bind((HOST, port))
-            except OSError:
-                continue
-            return port
-
-
 def check_tool_results(results: list[tuple[int, str]]) -> None:
     """Raise `DeploymentError` when a call of the tool failed."""
     for status, output in results:
--- /dev/null
+++ b/src/berylturn_standins/plan.py
@@ -0,0 +1,55 @@
+"""Plans of deployments for demos, tests and measurements."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True)
+class ServerPlan:
+    """Describe one backend server and its agent.
+
+    Attributes
+    ----------
+    service : str
+        Service of its first label.
+    other_services : tuple of str
+        What it can serve besides, once its label says so.
+    """
+
+    name: str
+    service: str
+    data_centre: str
+    slots: int = 3
+    cold_limit: int = 1
+    speed: float = 1.0
+    cold_seconds: float = 0.5
+    connections: int = 2000
+    proxied: bool = False
+    backend_proxied: bool = False
+    other_services: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class BalancerPlan:
+    """Describe one balancer."""
+
+    name: str
+    data_centre: str
+    proxied: bool = False
+
+
+@dataclass
+class Plan:
+    """Describe a deployment; `services` are the names behind the fabric."""
+
+    services: list[str]
+    servers: list[ServerPlan]
+    balancers: list[BalancerPlan]
+    loss: float = 0.0
+    delay_ms: float = 0.0
+    seed: int = 1
+    agent_options: dict[str, str] = field(default_factory=dict)
+    statsd_port: int = 0
+    daemon: str = "berylturn.daemon"
+    environment: dict[str, str] = field(default_factory=dict)
--- a/src/berylturn_standins/scenarios.py
+++ b/src/berylturn_standins/scenarios.py
@@ -8,7 +8,8 @@
 from dataclasses import replace
 
 from .background import BackgroundLoad, LoadShape
-from .deployment import BalancerPlan, Deployment, ServerPlan, stop_process
+from .deployment import Deployment, stop_process
+from .plan import BalancerPlan, ServerPlan
 
 SETTLE_SECONDS = 1.0
 
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -33,7 +33,7 @@
 from berylturn.request.queue import RequestQueue
 from berylturn.version.view import View
 from berylturn_standins.backend import BackendStandIn, Shape
-from berylturn_standins.deployment import HOST, free_port
+from berylturn_standins.ports import HOST, free_port
 
 from .test_rules import labels, selector
 
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
+from collections import Counter
 
 from berylturn.caller import CallerFlow, Session
 from berylturn.connection.packets import (
     Accepted,
+    AnswerPart,
     Close,
     Packet,
     RefusalReason,
     Refused,
+    Request,
+    decode_from_caller,
 )
 from berylturn.errors import NotRun, OutcomeUnknown
 from berylturn.process.clock import SystemClock
@@ -24,11 +29,16 @@
 
     def __init__(self) -> None:
         self.sent: list[Packet] = []
+        self.counters: Counter[str] = Counter()
 
     def send(self, packet: Packet) -> None:
         """Keep a packet."""
         self.sent.append(packet)
 
+    def send_bytes(self, data: bytes) -> None:
+        """Keep an encoded packet."""
+        self.sent.append(decode_from_caller(data))
+
 
 class FakeFlow:
     """Fail requests as told, one after another."""
@@ -63,6 +73,26 @@
             await self.check(errors, repeatable, expected)
 
 
+class LowWater(unittest.IsolatedAsyncioTestCase):
+    """What a flow tells its agent to forget."""
+
+    async def test_an_open_stream_does_not_hold_it_back(self):
+        caller = FakeCaller()
+        flow = CallerFlow(caller, "booking")
+        flow.on_packet(Accepted(flow.flow_id, 1, b"token"))
+        following = asyncio.create_task(anext(flow.stream(b"board")))
+        for number in range(1, 4):
+            asking = asyncio.create_task(flow.request(b"score"))
+            await asyncio.sleep(0)
+            part = AnswerPart(flow.flow_id, 1, number, 200, 0, 1, b"")
+            flow.on_packet(part)
+            await asking
+        asked = [p for p in caller.sent if isinstance(p, Request) and not p.stream]
+        self.assertEqual([p.low_water for p in asked], [1, 2, 3])
+        following.cancel()
+        await asyncio.gather(following, return_exceptions=True)
+
+
 class Opening(unittest.IsolatedAsyncioTestCase):
     """Answers to `Open` that come late, twice or from two agents."""
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -18,7 +18,7 @@
 )
 from berylturn.process.settings import TlsSection
 from berylturn.process.sockets import open_udp
-from berylturn_standins.deployment import HOST, free_port
+from berylturn_standins.ports import HOST, free_port
 
 
 async def serve_pull(_request):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -11,14 +11,9 @@
 from berylturn.caller import Caller
 from berylturn_standins import scenarios
 from berylturn_standins.background import BackgroundLoad, LoadShape, Verdict, judge
-from berylturn_standins.deployment import (
-    HOST,
-    BalancerPlan,
-    Deployment,
-    Plan,
-    ServerPlan,
-    free_port,
-)
+from berylturn_standins.deployment import Deployment
+from berylturn_standins.plan import BalancerPlan, Plan, ServerPlan
+from berylturn_standins.ports import HOST, free_port
 from berylturn_standins.statsd import StatsdStandIn
 
 SERVICE = "booking"
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -7,7 +7,9 @@
 import json
 import unittest
 
-from berylturn_standins.deployment import HOST, BalancerPlan, Deployment, Plan
+from berylturn_standins.deployment import Deployment
+from berylturn_standins.plan import BalancerPlan, Plan
+from berylturn_standins.ports import HOST
 
 TARGET = "data-centre/patan-hall"
 
