Measure the floor of imbalance, and prove overload and joint failures

Overload and failures at the same time had measurements but no test.

Change: `make imbalance-floor` gives each server exactly its share of random arrivals in virtual time and reads the same meter. Measurements also report the imbalance of the whole run, two more rules to compare with (the better of two siblings; running requests instead of flows), and a scenario with faults on all control links and a platform of 1 s. New tests: truthful refusals and the retry budget under overload; a balancer, an agent and a server's warmth lost at once, twice, first with the platform down.

Found on reading: after a hand-over that failed, the agent asked its callers to leave once; when that packet was lost, what had waited ended as unknown.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LOSS ?= 0
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test lint format setup measure measure-all queue-orders slopes
+.PHONY: demo test lint format setup measure measure-all queue-orders imbalance-floor slopes
 
 setup: $(STAMP)
 
@@ -38,6 +38,9 @@
 measure-all: setup
 	$(BIN)/python -m bench.measure_all
 
+imbalance-floor: setup
+	$(BIN)/python -m bench.imbalance_floor
+
 queue-orders: setup
 	$(BIN)/python -m bench.queue_orders
 
--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -11,8 +11,10 @@
 from collections import Counter
 from collections.abc import Callable
 
+import msgspec
+
 from berylturn import daemon
-from berylturn.connection import router, siblings
+from berylturn.connection import opening, router, siblings
 from berylturn.connection.packets import Open
 from berylturn.version.placement import (
     Candidate,
@@ -105,6 +107,44 @@
     router.place_flow = place
 
 
+def pass_to_better_of_two() -> None:
+    """Let agents pass flows on to the better of two random siblings."""
+    source = random.Random(1)
+
+    def choose(self, service, flows, weight, full, visited, data_centres, now):
+        fresh = self._fresh(service, data_centres, now)
+        names = [name for name in fresh if name not in visited]
+        pair = source.sample(names, min(2, len(names)))
+        if not pair:
+            return None
+        best = min(pair, key=lambda n: fresh[n].digest.flows / fresh[n].digest.weight)
+        theirs = (fresh[best].digest.flows + 1) / fresh[best].digest.weight
+        if not full and theirs >= flows / weight:
+            return None
+        return self.members[best] if self._budget.spend() else None
+
+    siblings.Siblings.choose = choose
+
+
+def pass_by_running_requests() -> None:
+    """Let agents compare requests that run and wait instead of open flows."""
+    digest_of = opening.OpeningRules.load_digest
+    choose = siblings.Siblings.choose
+
+    def load_digest(self):
+        digest = digest_of(self)
+        load = digest.running + digest.queued
+        self.siblings.on_own_digest(load)
+        return msgspec.structs.replace(digest, flows=load)
+
+    def choose_by_load(self, service, _flows, *arguments, **options):
+        return choose(self, service, self._reported_flows, *arguments, **options)
+
+    opening.OpeningRules.load_digest = load_digest
+    opening.OpeningRules.digest_is_stale = False
+    siblings.Siblings.choose = choose_by_load
+
+
 PLACEMENTS = {
     "random": place_random,
     "round-robin": place_round_robin,
@@ -113,8 +153,17 @@
 }
 
 
+PASSING = {
+    "two-choices": pass_to_better_of_two,
+    "least-running": pass_by_running_requests,
+}
+
+
 def install(policy: str) -> None:
     """Replace the product's rules by those of a baseline."""
+    if policy in PASSING:
+        PASSING[policy]()
+        return
     siblings.Siblings.choose = lambda *_args, **_kwargs: None
     if policy == "hash-no-token":
         hash_every_packet()
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -102,8 +102,10 @@
         return sum(sum(s.endings.values()) for s in self.sessions)
 
 
-def build_plan(shape: Shape, policy: str, seed: int, statsd_port: int) -> Plan:
-    """Return the deployment of one user."""
+def build_plan(
+    shape: Shape, policy: str, seed: int, statsd_port: int, proxied: bool = False
+) -> Plan:
+    """Return the deployment of one user, with or without fault proxies."""
     servers = []
     for service, count in shape.services.items():
         for i in range(count):
@@ -115,9 +117,10 @@
                     slots=shape.slots,
                     speed=SPEEDS[i],
                     cold_seconds=COLD_SECONDS,
+                    proxied=proxied,
                 )
             )
-    balancers = [BalancerPlan(f"entry-{c}", c) for c in shape.centres]
+    balancers = [BalancerPlan(f"entry-{c}", c, proxied) for c in shape.centres]
     plan = Plan(list(shape.services), servers, balancers, seed=seed)
     plan.delay_ms = CALLER_DELAY_MS
     plan.statsd_port = statsd_port
@@ -290,6 +293,14 @@
                 ratios.append(max(window.values()) / mean)
         return round(statistics.fmean(ratios), 3) if ratios else 0.0
 
+    def imbalance_of_run(self) -> float:
+        """Return highest over mean load of the whole run, where chance evens out."""
+        loads = [
+            statistics.fmean(window[s.name] for window in self.timeline.busy)
+            for s in self._servers
+        ]
+        return round(max(loads) / statistics.fmean(loads), 3)
+
     async def _sample(self) -> dict[str, float]:
         found = {}
         for server in self._servers:
@@ -371,8 +382,16 @@
     await asyncio.gather(*(act(deployment) for act in chosen))
 
 
+async def disturb_control(deployment: Deployment) -> None:
+    """Disturb all links between daemons, and slow the platform to 1 s."""
+    await deployment.post("platform", "/_switches", {"delay": 1.0})
+    await scenarios.disturb_all_links(deployment)
+
+
+STEADY = "steady"
+FAULTS = "faults"
 SCENARIOS = {
-    "steady": (scenarios.hold_steady, 0.8),
+    STEADY: (scenarios.hold_steady, 0.8),
     "drain": (scenarios.drain_server, 0.7),
     "rolling": (None, 0.7),
     "balancer-kill": (scenarios.kill_balancer, 0.8),
@@ -383,6 +402,7 @@
     "platform-outage": (scenarios.fail_platform, 0.8),
     "silent": (scenarios.silence_connections, 0.6),
     "mixed": (mix_failures, 0.6),
+    FAULTS: (disturb_control, 0.6),
 }
 
 
@@ -409,7 +429,7 @@
     statsd = StatsdStandIn()
     port = free_port()
     await statsd.start((HOST, port))
-    plan = build_plan(shape, policy, seed, port)
+    plan = build_plan(shape, policy, seed, port, proxied=scenario == FAULTS)
     async with Deployment(plan) as deployment:
         deployment.statsd = statsd
         await prepare(deployment)
@@ -427,7 +447,8 @@
         say(f"playing {scenario} under {policy}")
         started = time.monotonic()
         late = await act(deployment)
-        probes = await probe_configuration(deployment) if scenario == "steady" else []
+        probed = scenario in (STEADY, FAULTS)
+        probes = await probe_configuration(deployment) if probed else []
         await asyncio.sleep(max(0.0, seconds - (time.monotonic() - started)))
         for task in sampling:
             task.cancel()
@@ -442,6 +463,7 @@
         draw_timeline(meters[0].timeline, title, plot)
     figures = summarise([load.result for load in loads], records)
     figures["imbalance"] = meters[0].imbalance()
+    figures["imbalance_of_run"] = meters[0].imbalance_of_run()
     figures["config_in_force_s"] = round(max(probes), 3) if probes else None
     figures["late_packets_to_out_dc"] = late
     figures["passed_on"] = statsd.total("flows.passed_on")
@@ -538,7 +560,8 @@
     scenario : str
         One of `SCENARIOS`.
     policy : str
-        product, random, round-robin, least-local, no-passing or hash-no-token.
+        product, or a baseline: random, round-robin, least-local, no-passing,
+        hash-no-token, two-choices or least-running.
     seed : int
         Seed of the load and of the fabric.
     seconds : float
--- a/bench/measure_all.py
+++ b/bench/measure_all.py
@@ -29,6 +29,7 @@
     "crossed": "crossed",
     "cold_overload": "cold overload",
     "imbalance": "imbalance",
+    "imbalance_of_run": "of the run",
     "p50_ms": "p50 ms",
     "p99_ms": "p99 ms",
     "longest_stream_gap_ms": "stream gap ms",
@@ -47,9 +48,12 @@
     "platform-outage",
     "silent",
     "mixed",
+    "faults",
 ]
 BASELINE_RUNS = {
     "no-passing": ["steady"],
+    "two-choices": ["steady"],
+    "least-running": ["steady"],
     "random": ["steady"],
     "round-robin": ["steady"],
     "least-local": ["steady"],
--- a/src/berylturn/connection/admission.py
+++ b/src/berylturn/connection/admission.py
@@ -221,7 +221,7 @@
             self.outbox.count("packets.foreign")
             return
         flow.touch(caller, balancer, now)
-        if self._parked:
+        if self._parked and not self._closing:
             self._hold_caller(packet, flow, now)
             return
         if self._closing:
--- a/src/berylturn_standins/background.py
+++ b/src/berylturn_standins/background.py
@@ -71,6 +71,7 @@
     stream_gaps: int = 0
     streams_reopened: int = 0
     longest_gap: float = 0.0
+    retries: int = 0
     problems: list[str] = field(default_factory=list)
 
     @property
@@ -225,5 +226,6 @@
         sum(s.gaps for s in load.streams),
         sum(s.reopened for s in load.streams),
         max((s.longest_gap for s in load.streams), default=0.0),
+        sum(session.retries for session in load.sessions),
         tally.problems,
     )
--- a/src/berylturn_standins/scenarios.py
+++ b/src/berylturn_standins/scenarios.py
@@ -86,9 +86,9 @@
         await asyncio.sleep(2 * SETTLE_SECONDS)
 
 
-async def kill_agent(deployment: Deployment) -> None:
+async def kill_agent(deployment: Deployment, index: int = 0) -> None:
     """End one agent at once and start another a while later."""
-    plan = deployment.plan.servers[0]
+    plan = deployment.plan.servers[index]
     name = f"{plan.name}-agent"
     port = deployment.processes[name].ports["peers"]
     await deployment.kill(name)
@@ -122,9 +122,9 @@
     await asyncio.sleep(3 * SETTLE_SECONDS)
 
 
-async def restart_backend(deployment: Deployment) -> None:
+async def restart_backend(deployment: Deployment, index: int = 0) -> None:
     """Let one backend server fall back into cold start, unannounced."""
-    await deployment.post(deployment.plan.servers[0].name, "/_restart")
+    await deployment.post(deployment.plan.servers[index].name, "/_restart")
     await asyncio.sleep(3 * SETTLE_SECONDS)
 
 
@@ -232,6 +232,29 @@
     )
 
 
+async def replace_killed_balancer(deployment: Deployment, index: int) -> None:
+    """End one balancer at once while another starts."""
+    dying = deployment.plan.balancers[index]
+    new = BalancerPlan(f"{dying.name}-new", dying.data_centre)
+    await asyncio.gather(deployment.kill(dying.name), deployment.start_balancer(new))
+
+
+async def fail_together(deployment: Deployment) -> None:
+    """Lose a balancer, an agent and a server's warmth at once, and then again.
+
+    The platform is down during the first round.
+    """
+    for turn, outage in enumerate((True, False)):
+        await deployment.post("platform", "/_switches", {"outage": outage})
+        await asyncio.gather(
+            replace_killed_balancer(deployment, turn),
+            kill_agent(deployment, turn),
+            restart_backend(deployment, turn + 2),
+        )
+    service = deployment.plan.services[0]
+    await deployment.wait_servers(service, len(deployment.plan.servers))
+
+
 async def cut_data_centres(deployment: Deployment) -> None:
     """Cut the first two data centres off from each other for a while."""
     first, second = sorted({s.data_centre for s in deployment.plan.servers})[:2]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -239,6 +239,9 @@
     async def test_agent_killed(self):
         await self.check_local(scenarios.kill_agent)
 
+    async def test_failures_together_and_twice(self):
+        await self.check_local(scenarios.fail_together)
+
     async def test_agent_paused(self):
         await self.check_local(scenarios.pause_agent)
 
@@ -285,6 +288,20 @@
         await self.check_planned(change_slowly)
         self.assertEqual(found, [0])
 
+    async def test_overload_is_refused_truthfully(self):
+        shape = LoadShape(
+            SERVICE,
+            sessions=60,
+            pause=0.01,
+            work_ms=40.0,
+            deadline=timedelta(milliseconds=150),
+        )
+        verdict = await self.play(scenarios.hold_steady, shape=shape)
+        self.assertGreater(verdict.not_run, 0)
+        self.assertEqual((verdict.shed, verdict.broken_flows), (0, 0), verdict)
+        budget = 0.1 * verdict.requests + 10 * shape.sessions
+        self.assertLessEqual(verdict.retries, budget)
+
     async def test_answers_of_the_platform_lost(self):
         async def change_with_lost_answers(deployment):
             await deployment.post("platform", "/_switches", {"lose_answers": 2})
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import unittest
 from collections import Counter
 
 from hypothesis import HealthCheck, settings
@@ -289,6 +290,23 @@
     return json.dumps({"labels": {"state": ("in", "out")[number % 2]}}).encode()
 
 
+class FailedHandOver(unittest.TestCase):
+    """An agent that has parked and then could not hand over."""
+
+    def test_waiting_requests_get_a_true_refusal(self):
+        machine = AgentMachine()
+        machine.open_flows(warm=False)
+        machine.send_new(FLOWS, 2000)
+        machine.connect(3)
+        machine.rules.park()
+        machine.rules.begin_closing(machine.now)
+        for flow in FLOWS:
+            machine.send(flow, 0, 2000, 0)
+        waiting = {(flow, 0) for flow in FLOWS} - set(machine.running)
+        self.assertEqual(len(waiting), 2)
+        self.assertEqual(machine.not_run, waiting)
+
+
 class ConfigurationMachine(RuleBasedStateMachine):
     """Stale peers, invalid, repeated and reordered objects: no view goes back.
 
