Split the measurement program, and take flow ids from its seed

Change: open_load.py, meter.py and acts.py; the caller library takes the source of its random bytes as an argument (secrets by default).

--- a/bench/imbalance_floor.py
+++ b/bench/imbalance_floor.py
@@ -15,7 +15,8 @@
 
 import fire
 
-from .measure import SHAPES, SPEEDS, WORK_MS
+from .measure import SHAPES, SPEEDS
+from .open_load import WORK_MS
 
 LOAD = 0.8
 SECONDS = 600
--- a/src/berylturn/caller.py
+++ b/src/berylturn/caller.py
@@ -8,8 +8,9 @@
 
 import asyncio
 import random
+import secrets
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from datetime import timedelta
 
 from .connection.caller_flow import (
@@ -19,6 +20,7 @@
     CallerFlow,
 )
 from .connection.packets import (
+    FLOW_ID_BYTES,
     Accepted,
     CloseReason,
     Open,
@@ -51,6 +53,9 @@
         Address of the service.
     clock : Clock
         Source of time.
+    draw_bytes : callable
+        Takes a number and returns that many random bytes, for flow identifiers.
+        They must be unpredictable in production; measurements give a seeded source.
 
     Examples
     --------
@@ -61,8 +66,14 @@
     ...         return answer.body
     """
 
-    def __init__(self, entry: Address, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        entry: Address,
+        clock: Clock | None = None,
+        draw_bytes: Callable[[int], bytes] = secrets.token_bytes,
+    ) -> None:
         self._entry = entry
+        self._draw_bytes = draw_bytes
         self._clock = clock or SystemClock()
         self._flows: dict[bytes, CallerFlow] = {}
         self._transport: asyncio.DatagramTransport | None = None
@@ -122,6 +133,10 @@
             f"({refusal.name.lower()}); try again later"
         )
 
+    def new_flow_id(self) -> bytes:
+        """Return the identifier of a new flow, 128 bits."""
+        return self._draw_bytes(FLOW_ID_BYTES)
+
     def send(self, packet: Packet) -> None:
         """Send one packet to the entry address."""
         self.send_bytes(encode_packet(packet))
--- a/src/berylturn/connection/caller_flow.py
+++ b/src/berylturn/connection/caller_flow.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import secrets
 from collections import Counter
 from collections.abc import AsyncIterator
 from datetime import timedelta
@@ -14,7 +13,6 @@
 from .exchange import Answer, Exchange
 from .inbox import StreamInbox
 from .packets import (
-    FLOW_ID_BYTES,
     Accepted,
     AnswerPart,
     Cancel,
@@ -57,6 +55,9 @@
     def clock(self) -> Clock:
         """Return the source of time."""
 
+    def new_flow_id(self) -> bytes:
+        """Return the identifier of a new flow, 128 bits."""
+
     def send(self, packet: Packet) -> None:
         """Send one packet to the entry address."""
 
@@ -85,7 +86,7 @@
         self._caller = caller
         self._clock = caller.clock
         self._service = service
-        self._flow_id = secrets.token_bytes(FLOW_ID_BYTES)
+        self._flow_id = caller.new_flow_id()
         self._token = b""
         self._incarnation = 0
         self._number = 0
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -31,6 +31,10 @@
         self.sent: list[Packet] = []
         self.counters: Counter[str] = Counter()
 
+    def new_flow_id(self) -> bytes:
+        """Return the same identifier for every flow."""
+        return bytes(16)
+
     def send(self, packet: Packet) -> None:
         """Keep a packet."""
         self.sent.append(packet)
