--- a/src/berylturn/cli.py
+++ b/src/berylturn/cli.py
@@ -5,19 +5,15 @@
 import asyncio
 import configparser
 import json
-import os
 import sys
 from collections.abc import Coroutine
-from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
 import fire
-import msgspec
 
 from .errors import BerylturnError, ObjectNotFound, SelectorError, SettingsError
 from .process.claims import claim_address, list_claims, release_claims
-from .process.clock import SystemClock
 from .process.control import (
     ControlError,
     ExplainReply,
@@ -26,10 +22,10 @@
     StatusRequest,
     call_control,
 )
-from .process.platform import HttpPlatform, current_version
+from .process.operator_tool import OperatorTool
+from .process.platform import current_version
 from .process.settings import TlsSection
 from .version.selectors import (
-    BALANCER_PREFIX,
     DATA_CENTRE_PREFIX,
     DATA_CENTRE_STATES,
     SELECTOR_PREFIX,
@@ -40,99 +36,12 @@
     parse_selector,
 )
 
-CLOCK = SystemClock()
-PLATFORM_VARIABLE = "BERYLTURN_PLATFORM"
-TIMEOUT = timedelta(seconds=15)
-WAIT_SECONDS = 30.0
-POLL_SECONDS = 0.1
 EXIT_FAILED = 1
 EXIT_CONFLICT = 2
 EXIT_NOT_IN_FORCE = 3
 LABEL_STATES = {SERVER_PREFIX: SERVER_STATES, DATA_CENTRE_PREFIX: DATA_CENTRE_STATES}
 
 
-class NotInForce(BerylturnError):
-    """Raise when a change did not reach every balancer in time."""
-
-
-class _Tool:
-    """Connect to the platform and print results."""
-
-    def __init__(self, platform: str, json: bool, tls: TlsSection) -> None:
-        url = platform or os.environ.get(PLATFORM_VARIABLE, "")
-        if not url:
-            raise SettingsError(
-                f"no platform given; use --platform or set {PLATFORM_VARIABLE}"
-            )
-        self.platform = HttpPlatform(url, TIMEOUT)
-        self._json = json
-        self.tls = tls
-
-    def show(self, value: Any, text: str) -> None:
-        """Print `value` as JSON, or `text`."""
-        if self._json:
-            print(msgspec.json.encode(value).decode())
-        else:
-            print(text)
-
-    async def balancers(self) -> dict[str, str]:
-        """Return the control addresses of the balancers in the directory."""
-        result = await self.platform.list(BALANCER_PREFIX)
-        return {
-            o.name.removeprefix(BALANCER_PREFIX): json.loads(o.body)["control"]
-            for o in result.objects
-        }
-
-    async def wait_in_force(self, name: str, version: int) -> None:
-        """Return when every live balancer has `version`, or raise `NotInForce`.
-
-        A balancer that does not answer and that no other holds alive is left out.
-        """
-        deadline = CLOCK.monotonic() + WAIT_SECONDS
-        while True:
-            behind = await self._behind(name, version)
-            if not behind:
-                return
-            if CLOCK.monotonic() > deadline:
-                raise NotInForce(
-                    f"{name} version {version} is accepted but not in force at "
-                    f"{'; '.join(behind)}"
-                )
-            await asyncio.sleep(POLL_SECONDS)
-
-    async def _behind(self, name: str, version: int) -> list[str]:
-        replies = await self._check_all(await self.balancers(), name, version)
-        answers = [r for r in replies.values() if isinstance(r, StatusReply)]
-        alive = {m.name: m.control for answer in answers for m in answer.balancers}
-        unlisted = {n: target for n, target in alive.items() if n not in replies}
-        replies |= await self._check_all(unlisted, name, version)
-        return [
-            _describe_lag(node, reply)
-            for node, reply in replies.items()
-            if (node in alive or not answers) and _is_behind(reply, version)
-        ]
-
-    async def _check_all(
-        self, balancers: dict[str, str], name: str, version: int
-    ) -> dict[str, StatusReply | ControlError]:
-        calls = [self._check(n, t, name, version) for n, t in balancers.items()]
-        return dict(zip(balancers, await asyncio.gather(*calls), strict=True))
-
-    async def _check(
-        self, node: str, target: str, name: str, version: int
-    ) -> StatusReply | ControlError:
-        try:
-            reply: StatusReply = await call_control(
-                target, "Status", StatusRequest(name), self.tls
-            )
-        except ControlError as error:
-            return error
-        for problem in reply.problems:
-            if problem.name == name and problem.version >= version:
-                raise SelectorError(f"{node} refused {name}: {problem.reason}")
-        return reply
-
-
 class LabelCommands:
     """Change the labels of backend servers and data centres."""
 
@@ -141,17 +50,19 @@
         pairs = dict(_parse_pair(str(label)) for label in labels)
         if not pairs:
             raise SelectorError("no labels given; write KEY=VALUE")
-        tool = _Tool(platform, json, _tls(tls))
+        tool = OperatorTool(platform, json, _tls(tls))
         _run(_change_labels(tool, target, pairs, (), wait))
 
     def remove(self, target, *keys, platform="", json=False, wait=False, **tls):
         """Remove labels by key."""
-        tool = _Tool(platform, json, _tls(tls))
+        tool = OperatorTool(platform, json, _tls(tls))
         _run(_change_labels(tool, target, {}, tuple(map(str, keys)), wait))
 
     def list(self, target="", platform="", json=False):
         """List labels; `target` is a prefix such as ``server/``."""
-        _run(_list_objects(_Tool(platform, json, TlsSection()), target, "labels"))
+        _run(
+            _list_objects(OperatorTool(platform, json, TlsSection()), target, "labels")
+        )
 
 
 class SelectorCommands:
@@ -159,35 +70,35 @@
 
     def apply(self, file, platform="", json=False, wait=False, **tls):
         """Write the selector in an INI file."""
-        _run(_apply_selector(_Tool(platform, json, _tls(tls)), file, wait))
+        _run(_apply_selector(OperatorTool(platform, json, _tls(tls)), file, wait))
 
     def remove(self, service, platform="", json=False, wait=False, **tls):
         """Delete the selector of a service."""
-        _run(_remove_selector(_Tool(platform, json, _tls(tls)), service, wait))
+        _run(_remove_selector(OperatorTool(platform, json, _tls(tls)), service, wait))
 
     def list(self, platform="", json=False):
         """List all selectors."""
-        tool = _Tool(platform, json, TlsSection())
+        tool = OperatorTool(platform, json, TlsSection())
         _run(_list_objects(tool, SELECTOR_PREFIX, "selectors"))
 
     def show(self, service, platform="", json=False):
         """Show the selector of a service."""
-        tool = _Tool(platform, json, TlsSection())
+        tool = OperatorTool(platform, json, TlsSection())
         _run(_list_objects(tool, SELECTOR_PREFIX + service, "selector"))
 
 
 def show_status(platform="", json=False, **tls):
     """Show what every balancer knows."""
-    _run(_show_status(_Tool(platform, json, _tls(tls))))
+    _run(_show_status(OperatorTool(platform, json, _tls(tls))))
 
 
 def explain_service(service, platform="", json=False, **tls):
     """Explain why work for a service goes where it goes."""
-    _run(_explain(_Tool(platform, json, _tls(tls)), service))
+    _run(_explain(OperatorTool(platform, json, _tls(tls)), service))
 
 
 async def _change_labels(
-    tool: _Tool, target: str, pairs: dict[str, str], removed: tuple, wait: bool
+    tool: OperatorTool, target: str, pairs: dict[str, str], removed: tuple, wait: bool
 ) -> None:
     states = _states_of(target)
     labels, version = await _read_labels(tool, target)
@@ -203,7 +114,7 @@
     tool.show({"object": target, "version": new_version, "labels": labels}, text)
 
 
-async def _read_labels(tool: _Tool, target: str) -> tuple[dict[str, str], int]:
+async def _read_labels(tool: OperatorTool, target: str) -> tuple[dict[str, str], int]:
     try:
         known = await tool.platform.get(target)
     except ObjectNotFound:
@@ -211,7 +122,7 @@
     return json.loads(known.body)["labels"], known.version
 
 
-async def _apply_selector(tool: _Tool, file: str, wait: bool) -> None:
+async def _apply_selector(tool: OperatorTool, file: str, wait: bool) -> None:
     body = _read_selector_file(file)
     selector = parse_selector(body)
     name = SELECTOR_PREFIX + selector.service
@@ -233,7 +144,7 @@
     tool.show({"object": name, "version": version, "matches": matched}, text)
 
 
-async def _remove_selector(tool: _Tool, service: str, wait: bool) -> None:
+async def _remove_selector(tool: OperatorTool, service: str, wait: bool) -> None:
     name = SELECTOR_PREFIX + service
     claims = await list_claims(tool.platform, service)
     version = await _delete_selector(tool, name, bool(claims))
@@ -243,7 +154,7 @@
     tool.show({"object": name, "version": version}, f"{name} deleted")
 
 
-async def _delete_selector(tool: _Tool, name: str, may_lack: bool) -> int:
+async def _delete_selector(tool: OperatorTool, name: str, may_lack: bool) -> int:
     """Return the version of the deletion, 0 when there was nothing to delete."""
     try:
         known = await tool.platform.get(name)
@@ -254,7 +165,9 @@
     return await tool.platform.delete(name, known.version)
 
 
-async def _check_address_is_free(tool: _Tool, service: str, address: str) -> None:
+async def _check_address_is_free(
+    tool: OperatorTool, service: str, address: str
+) -> None:
     result = await tool.platform.list(SELECTOR_PREFIX)
     for item in result.objects:
         other = json.loads(item.body)
@@ -265,13 +178,13 @@
             )
 
 
-async def _count_matches(tool: _Tool, selector) -> int:
+async def _count_matches(tool: OperatorTool, selector) -> int:
     result = await tool.platform.list(SERVER_PREFIX)
     labels = [json.loads(item.body)["labels"] for item in result.objects]
     return sum(selector.matches(item) for item in labels)
 
 
-async def _list_objects(tool: _Tool, prefix: str, what: str) -> None:
+async def _list_objects(tool: OperatorTool, prefix: str, what: str) -> None:
     result = await tool.platform.list(prefix)
     kinds = (SERVER_PREFIX, DATA_CENTRE_PREFIX, SELECTOR_PREFIX)
     found = {
@@ -285,7 +198,7 @@
     tool.show(found, "\n".join(lines) or f"no {what}")
 
 
-async def _show_status(tool: _Tool) -> None:
+async def _show_status(tool: OperatorTool) -> None:
     balancers = await tool.balancers()
     replies: dict[str, Any] = {}
     for node, target in sorted(balancers.items()):
@@ -315,7 +228,7 @@
     return lines
 
 
-async def _explain(tool: _Tool, service: str) -> None:
+async def _explain(tool: OperatorTool, service: str) -> None:
     for target in (await tool.balancers()).values():
         try:
             reply: ExplainReply = await call_control(
@@ -355,16 +268,6 @@
     return json.dumps(body).encode()
 
 
-def _is_behind(reply: StatusReply | ControlError, version: int) -> bool:
-    return isinstance(reply, ControlError) or reply.version < version
-
-
-def _describe_lag(node: str, reply: StatusReply | ControlError) -> str:
-    if isinstance(reply, ControlError):
-        return f"{node} ({reply})"
-    return f"{node} (has version {reply.version})"
-
-
 def _parse_pair(text: str) -> tuple[str, str]:
     key, separator, value = text.partition("=")
     check_name(key, "label key")
--- a/src/berylturn/connection/caller_flow.py
+++ b/src/berylturn/connection/caller_flow.py
@@ -129,6 +129,8 @@
     ) -> Answer:
         """Send one request and return its whole answer.
 
+        Cancelling the task that waits withdraws the request.
+
         Raises
         ------
         NotRun
@@ -143,6 +145,9 @@
         pending = self._pending[number] = Exchange(packets)
         try:
             return await self._exchange(number, pending, deadline.total_seconds())
+        except asyncio.CancelledError:
+            self._caller.send(Cancel(self._token, number))
+            raise
         finally:
             del self._pending[number]
 
@@ -170,11 +175,6 @@
             if self._token and self._close_reason is None:
                 self._caller.send(Cancel(self._token, number))
 
-    def cancel_all(self) -> None:
-        """Withdraw all requests that wait for an answer."""
-        for number in self._pending:
-            self._caller.send(Cancel(self._token, number))
-
     def close(self) -> None:
         """End the flow from the caller's side."""
         if self._token and self._close_reason is None:
--- a/src/berylturn/errors.py
+++ b/src/berylturn/errors.py
@@ -29,6 +29,10 @@
     """Raise when the platform does not answer in time."""
 
 
+class WatchExpired(PlatformError):
+    """Raise when the platform has forgotten the changes since a revision."""
+
+
 class VersionConflict(PlatformError):
     """Raise when a conditional write finds another version."""
 
--- a/src/berylturn/process/backend.py
+++ b/src/berylturn/process/backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -19,6 +20,12 @@
 STREAM_SILENT_SECONDS = 2.0
 SENTINEL_RETRY_SECONDS = 0.2
 LOST_SECONDS = 1.0
+SOCKET_OPTIONS = {
+    socket.TCP_KEEPIDLE: 1,
+    socket.TCP_KEEPINTVL: 1,
+    socket.TCP_KEEPCNT: 2,
+    socket.TCP_USER_TIMEOUT: 3000,
+}
 HEADER_FLOW = "Berylturn-Flow"
 HEADER_NUMBER = "Berylturn-Request"
 HEADER_SERVICE = "Berylturn-Service"
@@ -270,7 +277,9 @@
 
     def _new_session(self) -> aiohttp.ClientSession:
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._connect_timeout)
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=self._idle)
+        connector = aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=self._idle, socket_factory=open_socket
+        )
         return aiohttp.ClientSession(connector=connector, timeout=timeout)
 
     def _is_proved(self, connection: _FlowConnection) -> bool:
@@ -344,3 +353,24 @@
             response.raise_for_status()
             async for line in response.content:
                 yield line
+
+
+def open_socket(info: tuple) -> socket.socket:
+    """Return a socket that fails within 3 s when the network loses its peer.
+
+    TCP keepalives are answered by the peer's kernel, so that a server that is slow
+    is not taken for one that is gone (seconds, but milliseconds for the user
+    timeout).
+
+    Parameters
+    ----------
+    info : tuple
+        Family, type, protocol, name and address, as of `socket.getaddrinfo`.
+    """
+    family, kind, protocol, *_ = info
+    opened = socket.socket(family, kind, protocol)
+    opened.setblocking(False)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in SOCKET_OPTIONS.items():
+        opened.setsockopt(socket.IPPROTO_TCP, option, value)
+    return opened
--- a/src/berylturn/process/balancer.py
+++ b/src/berylturn/process/balancer.py
@@ -13,6 +13,7 @@
 from ..connection.channel import ChannelAction, ChannelMonitor
 from ..connection.frames import (
     Announce,
+    ConfigObject,
     GossipAck,
     GossipPing,
     MemberState,
@@ -26,13 +27,12 @@
     seal_frame,
 )
 from ..connection.router import Drop, Forward, Placed, Reply, route_packet
-from ..errors import AuthenticationError, PacketError, PlatformError
+from ..errors import AuthenticationError, PacketError, PlatformError, WatchExpired
 from ..version.selectors import CONFIG_KINDS
-from ..version.view import View
+from ..version.view import ConfigChange, View
 from .clock import Clock, epoch_milliseconds
 from .control import (
     ControlError,
-    PullReply,
     PullRequest,
     call_control,
     start_control,
@@ -44,7 +44,7 @@
 from .membership import Membership, Send
 from .metrics import Metrics
 from .neighbours import answer_announce, describe_neighbours
-from .platform import HttpPlatform, WatchResult
+from .platform import HttpPlatform
 from .settings import BalancerSettings, make_key_ring
 from .sockets import open_udp
 from .tasks import TaskGroup
@@ -288,6 +288,11 @@
         while True:
             try:
                 result = await self._platform.watch(revision, wait, CONFIG_KINDS)
+            except WatchExpired as error:
+                log_warning("watch_expired", revision=revision, error=str(error))
+                revision = 0
+                wait = timedelta()
+                continue
             except PlatformError as error:
                 self._metrics.count("platform.errors")
                 log_warning("platform_unavailable", error=str(error))
@@ -297,10 +302,21 @@
             pause = PLATFORM_RETRY_SECONDS
             revision = max(revision, result.revision)
             wait = self._settings.platform.watch
-            self._take_objects(result)
+            if result.complete:
+                complete = self._view.apply_complete(result.objects, result.revision)
+                self._note_changes(complete)
+            self._take_objects(result.objects)
+
+    def _take_objects(self, objects: list[ConfigObject]) -> None:
+        self._note_changes(self._view.apply(objects))
+        self._membership.config_digest = self._view.store.digest()
+        now = self._clock.monotonic()
+        self._membership.merge(read_directory(objects), now)
+        self._follow_members()
+        self._ready.set()
 
-    def _take_objects(self, result: WatchResult | PullReply) -> None:
-        for change in self._view.apply(result.objects):
+    def _note_changes(self, changes: list[ConfigChange]) -> None:
+        for change in changes:
             self._news = True
             self._metrics.count("config.changes")
             log_event(
@@ -309,11 +325,6 @@
                 version=change.version,
                 problem=change.problem,
             )
-        self._membership.config_digest = self._view.store.digest()
-        now = self._clock.monotonic()
-        self._membership.merge(read_directory(result.objects), now)
-        self._follow_members()
-        self._ready.set()
 
     async def _keep_directory(self) -> None:
         await self._ready.wait()
@@ -343,7 +354,7 @@
         self._membership.merge(reply.members, self._clock.monotonic())
         self._follow_members()
         if reply.objects or len(self._view.store):
-            self._take_objects(reply)
+            self._take_objects(reply.objects)
 
     async def _announce_to_fabric(self) -> None:
         period = self._settings.fabric.period.total_seconds()
--- a/src/berylturn/process/membership.py
+++ b/src/berylturn/process/membership.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-import msgspec
+from msgspec.structs import replace
 
 from ..connection.frames import (
     Frame,
@@ -200,10 +200,7 @@
         return [Send(m.address, self._ping()) for m in targets[:3]]
 
     def _set_me(self, status: Status, epoch: int, now: float) -> None:
-        me = self._me
-        self._me = MemberState(
-            me.name, me.role, me.data_centre, me.address, epoch, status, me.control
-        )
+        self._me = replace(self._me, epoch=epoch, status=status)
         self._keep(self._me, now)
 
     def _refute(self, state: MemberState, now: float) -> None:
@@ -367,7 +364,7 @@
 def _with_update(
     frame: GossipPing | GossipAck, state: MemberState
 ) -> GossipPing | GossipAck:
-    return msgspec.structs.replace(frame, updates=[state, *frame.updates])
+    return replace(frame, updates=[state, *frame.updates])
 
 
 def _fingerprint(state: MemberState) -> int:
@@ -382,12 +379,4 @@
 
 
 def _with_status(state: MemberState, status: Status) -> MemberState:
-    return MemberState(
-        state.name,
-        state.role,
-        state.data_centre,
-        state.address,
-        state.epoch,
-        status,
-        state.control,
-    )
+    return replace(state, status=status)
--- a/src/berylturn/process/platform.py
+++ b/src/berylturn/process/platform.py
@@ -26,6 +26,7 @@
     PlatformError,
     PlatformUnavailable,
     VersionConflict,
+    WatchExpired,
 )
 
 MAX_ATTEMPTS = 4
@@ -34,10 +35,17 @@
 
 @dataclass(frozen=True)
 class WatchResult:
-    """Changes since a revision, deletions included."""
+    """Changes since a revision, deletions included.
+
+    Attributes
+    ----------
+    complete : bool
+        Whether `objects` are all that exist, instead of changes.
+    """
 
     revision: int
     objects: list[ConfigObject]
+    complete: bool = False
 
 
 class Platform(Protocol):
@@ -58,7 +66,15 @@
     async def watch(
         self, since: int, wait: timedelta, kinds: tuple[str, ...]
     ) -> WatchResult:
-        """Wait for changes of some kinds of objects after revision `since`."""
+        """Wait for changes of some kinds of objects after revision `since`.
+
+        Since 0, all objects are returned at once.
+
+        Raises
+        ------
+        WatchExpired
+            The changes are forgotten; begin again at 0.
+        """
 
 
 class HttpPlatform:
@@ -220,6 +236,8 @@
         raise ObjectNotFound(f"{path} does not exist; list the objects to see names")
     if status == 409:
         raise VersionConflict(f"{path} was changed meanwhile; read it and try again")
+    if status == 410:
+        raise WatchExpired(f"{path}: the changes are forgotten; begin again at 0")
     if status != 200:
         raise PlatformUnavailable(f"the platform answered {status}; try again later")
     try:
@@ -241,4 +259,5 @@
 
 def _watch_result(reply: dict[str, Any]) -> WatchResult:
     objects: Iterable[dict[str, Any]] = reply["objects"]
-    return WatchResult(reply["revision"], [_object(item) for item in objects])
+    found = [_object(item) for item in objects]
+    return WatchResult(reply["revision"], found, reply.get("complete", False))
--- a/src/berylturn/version/objects.py
+++ b/src/berylturn/version/objects.py
@@ -42,6 +42,8 @@
     is_valid: Callable[[ConfigObject], bool] = accept_all
     _objects: dict[str, ConfigObject] = field(default_factory=dict)
     _older_valid: dict[str, ConfigObject] = field(default_factory=dict)
+    _invalid_since: dict[str, int] = field(default_factory=dict)
+    _complete_at: int = 0
     _sums: list[int] = field(default_factory=lambda: [0] * BUCKETS)
 
     def __len__(self) -> int:
@@ -74,7 +76,34 @@
 
     def merge(self, objects: Iterable[ConfigObject]) -> list[ConfigObject]:
         """Keep what is newer; return the objects that changed the store."""
-        return [item for item in objects if self._merge_one(item)]
+        dated = [self._bury_if_deleted(item) for item in objects]
+        return [item for item in dated if self._merge_one(item)]
+
+    def merge_complete(
+        self, objects: Iterable[ConfigObject], revision: int
+    ) -> list[ConfigObject]:
+        """Take all objects that the platform held at a revision.
+
+        What is not among them was deleted, perhaps so long ago that the platform
+        has forgotten the deletion.
+        """
+        listed = {item.name: item for item in objects}
+        gone = [
+            ConfigObject(item.name, revision, None)
+            for item in self._objects.values()
+            if item.name not in listed
+            and item.body is not None
+            and item.version <= revision
+        ]
+        changed = self.merge([*listed.values(), *gone])
+        self._complete_at = max(self._complete_at, revision)
+        return changed
+
+    def absence(self, name: str) -> list[ConfigObject]:
+        """Return a deletion for a name that the platform is known not to have."""
+        if name in self._objects or not self._complete_at:
+            return []
+        return [ConfigObject(name, self._complete_at, None)]
 
     def digest(self) -> bytes:
         """Return a short digest of all names and versions."""
@@ -101,11 +130,23 @@
         self._objects[item.name] = item
         if self.is_valid(item):
             self._older_valid.pop(item.name, None)
-        elif valid is not None:
-            self._older_valid[item.name] = valid
+            self._invalid_since.pop(item.name, None)
+        else:
+            self._invalid_since.setdefault(item.name, item.version)
+            if valid is not None:
+                self._older_valid[item.name] = valid
         self._toggle_sum(item.name)
         return True
 
+    def _bury_if_deleted(self, item: ConfigObject) -> ConfigObject:
+        """Turn a stale copy of what the platform no longer has into a deletion."""
+        if item.version > self._complete_at:
+            return item
+        present_at = self._invalid_since.get(item.name, 0)
+        if item.name in self._objects and present_at <= self._complete_at:
+            return item
+        return ConfigObject(item.name, self._complete_at, None)
+
     def _keep_older(self, item: ConfigObject, newest: ConfigObject) -> bool:
         """Keep an object that is in force as long as the newest is invalid."""
         if item.version == newest.version or self.is_valid(newest):
--- a/src/berylturn/version/view.py
+++ b/src/berylturn/version/view.py
@@ -90,9 +90,13 @@
 
     def apply(self, objects: Iterable[ConfigObject]) -> list[ConfigChange]:
         """Merge objects and put the valid ones in force."""
-        changed = self.store.merge(objects)
-        self.revision += len(changed)
-        return [self._apply_one(item) for item in changed]
+        return self._apply_all(self.store.merge(objects))
+
+    def apply_complete(
+        self, objects: Iterable[ConfigObject], revision: int
+    ) -> list[ConfigChange]:
+        """Put in force all that the platform held at a revision, and nothing else."""
+        return self._apply_all(self.store.merge_complete(objects, revision))
 
     def set_agent(self, member: MemberState) -> None:
         """Put the state of one agent in force."""
@@ -154,7 +158,8 @@
         names = [SERVER_PREFIX + server, DATA_CENTRE_PREFIX + data_centre]
         services = sorted({*self.services_of(server), *held})
         names += [SELECTOR_PREFIX + name for name in services]
-        return [item for name in names for item in self.store.forms(name)]
+        store = self.store
+        return [item for n in names for item in store.forms(n) or store.absence(n)]
 
     def explain(self, service: str) -> list[Explanation]:
         """Return how each matching backend server takes part in a service."""
@@ -181,6 +186,10 @@
             verdict = "its data centre has no share"
         return Explanation(name, agent.data_centre, shares.get(name, 0.0), verdict)
 
+    def _apply_all(self, changed: list[ConfigObject]) -> list[ConfigChange]:
+        self.revision += len(changed)
+        return [self._apply_one(item) for item in changed]
+
     def _apply_one(self, item: ConfigObject) -> ConfigChange:
         """Put an object in force, unless it is invalid."""
         try:
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import json
+import socket
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from nose2.tools import params
 
@@ -25,7 +27,7 @@
     decode_to_caller,
     encode_packet,
 )
-from berylturn.process.backend import Call, HttpBackend
+from berylturn.process.backend import SOCKET_OPTIONS, Call, HttpBackend, open_socket
 from berylturn.process.clock import SystemClock
 from berylturn.process.metrics import Metrics
 from berylturn.process.runner import BackendRunner
@@ -156,6 +158,27 @@
     return bytes([index]) * 16
 
 
+class Sockets(unittest.TestCase):
+    """Connections to the backend server."""
+
+    def test_the_kernel_looks_for_a_peer_that_is_gone(self):
+        opened = []
+
+        def record(info):
+            opened.append(open_socket(info))
+            return opened[-1]
+
+        with mock.patch("berylturn.process.backend.open_socket", record):
+            asyncio.run(self.check_options(opened))
+
+    async def check_options(self, opened):
+        async with Beside() as beside:
+            await beside.run_past_the_gate(flow(0))
+            for option, value in SOCKET_OPTIONS.items():
+                found = opened[0].getsockopt(socket.IPPROTO_TCP, option)
+                self.assertEqual(found, value)
+
+
 class BrokenServer(unittest.TestCase):
     """A server that takes connections and ends every request."""
 
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -10,6 +10,7 @@
 from berylturn.connection.packets import (
     Accepted,
     AnswerPart,
+    Cancel,
     Close,
     Packet,
     RefusalReason,
@@ -97,6 +98,20 @@
         await asyncio.gather(following, return_exceptions=True)
 
 
+class Withdrawing(unittest.IsolatedAsyncioTestCase):
+    """Requests whose callers no longer wait."""
+
+    async def test_a_cancelled_task_withdraws_its_request(self):
+        caller = FakeCaller()
+        flow = CallerFlow(caller, "booking")
+        flow.on_packet(Accepted(flow.flow_id, 1, b"token"))
+        asking = asyncio.create_task(flow.request(b"score"))
+        await asyncio.sleep(0)
+        asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+        self.assertEqual(caller.sent[-1], Cancel(b"token", 0))
+
+
 class Opening(unittest.IsolatedAsyncioTestCase):
     """Answers to `Open` that come late, twice or from two agents."""
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import json
+import signal
 import unittest
 
 from berylturn_standins.deployment import Deployment
@@ -89,6 +90,19 @@
         )
         return str(path)
 
+    async def test_deletion_that_the_platform_has_forgotten(self):
+        await self.deployment.apply_selector("booking")
+        await self.deployment.signal("entry-0", signal.SIGSTOP)
+        await self.deployment.tool("selector", "remove", "booking")
+        await self.deployment.post("platform", "/_compact")
+        await self.deployment.signal("entry-0", signal.SIGCONT)
+
+        async def deleted() -> bool:
+            _, output = await self.deployment.tool("status", "--json")
+            return json.loads(output)["entry-0"]["services"] == {}
+
+        await self.deployment.wait_until(deleted, "the deletion in force")
+
     async def test_two_services_race_for_one_address(self):
         paths = [await self.write_selector(name) for name in ("booking", "media")]
         await self.switch(delay=0.5)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -140,6 +140,22 @@
         self.assertEqual(peer.store.digest(), view.store.digest())
         self.assertIn("selector/booking", peer.problems)
 
+    @params(
+        ([], 9, False),
+        ([], 3, True),
+        ([selector(4)], 9, True),
+    )
+    def test_what_the_platform_no_longer_lists_is_deleted(self, listed, at, kept):
+        view = make_view()
+        view.apply_complete(listed, at)
+        view.apply([selector(4)])
+        self.assertEqual("booking" in view.services, kept)
+        agent_view = make_view()
+        agent_view.apply(view.objects_for_agent("a", "x", ["booking"]))
+        self.assertEqual("booking" in agent_view.services, kept)
+        view.apply([selector(10)])
+        self.assertIn("booking", view.services)
+
     @params(("booking", "media"), ("media", "booking"))
     def test_services_that_share_an_address_are_named(self, first, second):
         view = View()
