Withdraw a cancelled request that is still connecting

Cause: on reading. A request that was cancelled between its start and its connection could be put back into the queue by a cold start and run all the same, with nobody waiting for it.

Change: a cancelled request that has not been written ends as a true "not run" when its connection is ready. The view's revision is a property.

Figures: cancelled, cold start, connected: it started before, 0 starts and a "not run" after (test_fuzz.Withdrawn).

--- a/src/berylturn/request/execution.py
+++ b/src/berylturn/request/execution.py
@@ -30,6 +30,7 @@
 class _Work:
     request: StartRequest
     waiting: Waiting | None
+    withdrawn: bool = False
 
 
 class RequestRules:
@@ -106,8 +107,10 @@
         """
         key = (flow_id, number)
         work = self._work[key]
-        if work.request.deadline <= now:
-            self.on_finished(*key, DidNotRun(RefusalReason.DEADLINE), 0.0, now)
+        late = work.request.deadline <= now
+        if late or work.withdrawn:
+            reason = RefusalReason.DEADLINE if late else RefusalReason.CANCELLED
+            self.on_finished(*key, DidNotRun(reason), 0.0, now)
             return False
         if work.request.era == self._gate.era and flow_id in self._flows:
             return True
@@ -163,6 +166,7 @@
         if work is None:
             return
         if work.waiting is None:
+            work.withdrawn = True
             self._outbox.add(CancelRequest(flow_id, number))
         else:
             self._refuse_waiting(work.waiting, RefusalReason.CANCELLED, now)
--- a/src/berylturn/version/view.py
+++ b/src/berylturn/version/view.py
@@ -64,7 +64,7 @@
     """Hold what one balancer knows, and build placement tables on demand."""
 
     store: ObjectStore = field(default_factory=lambda: ObjectStore(_is_valid))
-    revision: int = 0
+    _revision: int = 0
     _labels: dict[str, dict[str, str]] = field(default_factory=dict)
     _data_centres: dict[str, dict[str, str]] = field(default_factory=dict)
     _services: dict[str, Service] = field(default_factory=dict)
@@ -73,6 +73,11 @@
     _unreachable: set[str] = field(default_factory=set)
     _served: dict[str, set[str]] = field(default_factory=dict)
 
+    @property
+    def revision(self) -> int:
+        """Return a number that rises with each change."""
+        return self._revision
+
     @property
     def services(self) -> dict[str, Service]:
         """Return the services in force by name."""
@@ -187,7 +192,7 @@
         return Explanation(name, agent.data_centre, shares.get(name, 0.0), verdict)
 
     def _apply_all(self, changed: list[ConfigObject]) -> list[ConfigChange]:
-        self.revision += len(changed)
+        self._revision += len(changed)
         return [self._apply_one(item) for item in changed]
 
     def _apply_one(self, item: ConfigObject) -> ConfigChange:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -290,6 +290,19 @@
     return json.dumps({"labels": {"state": ("in", "out")[number % 2]}}).encode()
 
 
+class Withdrawn(unittest.TestCase):
+    """A request that is cancelled before it has a connection."""
+
+    def test_never_starts_and_is_reported_as_not_run(self):
+        machine = AgentMachine()
+        machine.open_flows(warm=True)
+        machine.send_new(FLOWS[:1], 2000)
+        machine.cancel(FLOWS[0], 0)
+        machine.backend_goes_cold()
+        machine.connect(1)
+        self.assertEqual((machine.not_run, machine.started), ({(FLOWS[0], 0)}, {}))
+
+
 class FailedHandOver(unittest.TestCase):
     """An agent that has parked and then could not hand over."""
 
