Do not take a caller's leaving for a cold start

When a flow ends while its request connects or runs, the agent closes the connection, the request fails, and the failure counted as a sign that the server had restarted: it fell back to the cold limit, for the whole cold time, each time a caller left early. Also, since streams no longer hold back the low-water mark, a stream older than the mark was not counted as running by a successor, so it stayed open at the server after its flow ended.

Change: failures of requests whose caller has left are no signs. A resumed stream counts as running whatever the mark is.

--- a/bench/acts.py
+++ b/bench/acts.py
@@ -8,6 +8,7 @@
 import time
 from collections import Counter
 from datetime import timedelta
+from functools import partial
 
 from berylturn.process.control import ControlError, StatusRequest, call_control
 from berylturn.process.platform import HttpPlatform, write_object
@@ -117,6 +118,7 @@
     "dc-out-and-back": (take_out_and_back, 0.5),
     "overload": (scenarios.hold_steady, 1.5),
     "platform-outage": (scenarios.fail_platform, 0.8),
+    "long-outage": (partial(scenarios.fail_platform, seconds=60.0), 0.8),
     "silent": (scenarios.silence_connections, 0.6),
     "mixed": (mix_failures, 0.6),
     FAULTS: (disturb_control, 0.6),
--- a/bench/measure_all.py
+++ b/bench/measure_all.py
@@ -46,6 +46,7 @@
     "dc-out-and-back",
     "overload",
     "platform-outage",
+    "long-outage",
     "silent",
     "mixed",
     "faults",
--- a/src/berylturn/connection/streams.py
+++ b/src/berylturn/connection/streams.py
@@ -51,7 +51,7 @@
         """Open the streams of a predecessor's flow where they stopped."""
         for number, stream in (flow.streams or {}).items():
             self._streaming.add(flow.flow_id)
-            flow.ledger.offer(number)
+            flow.ledger.resume(number)
             request = StartRequest(
                 flow.flow_id,
                 number,
--- a/src/berylturn/process/runner.py
+++ b/src/berylturn/process/runner.py
@@ -15,6 +15,8 @@
 from .metrics import Metrics
 from .tasks import TaskGroup
 
+Key = tuple[bytes, int]
+
 UNREACHABLE_RETRY_MS = 200
 SHED_RETRY_MS = 200
 
@@ -55,7 +57,8 @@
         self._metrics = metrics
         self._apply = apply
         self._note_cold = note_cold
-        self._running: dict[tuple[bytes, int], asyncio.Task[None]] = {}
+        self._running: dict[Key, asyncio.Task[None]] = {}
+        self._withdrawn: set[Key] = set()
 
     def start(self, request: StartRequest) -> None:
         """Run one request or stream in a task of its own."""
@@ -82,7 +85,7 @@
             await self._backend.prepare(request.flow_id)
             refusal = None
         except ConnectError:
-            self._note_cold("unreachable")
+            self._note_sign(request, "unreachable")
             refusal = DidNotRun(RefusalReason.UNREACHABLE, UNREACHABLE_RETRY_MS)
         finally:
             if refusal is not None:
@@ -111,22 +114,41 @@
         try:
             reply = await self._backend.run(call)
         except ConnectError:
-            self._note_cold("unreachable")
+            self._note_sign(request, "unreachable")
             return DidNotRun(RefusalReason.UNREACHABLE, UNREACHABLE_RETRY_MS)
         except ShedError:
-            self._note_cold("shed")
+            self._note_sign(request, "shed")
             return DidNotRun(RefusalReason.SHED, SHED_RETRY_MS)
         except ConnectionBroken as error:
             self._metrics.count("requests.unknown")
             if isinstance(error.__cause__, TimeoutError):
                 await self._backend.cancel(request.flow_id, request.number)
             else:
-                self._rules.on_broken(self._clock.monotonic(), request.era)
-                self._note_cold("reset")
+                self._note_break(request)
             return MayHaveRun()
         self._metrics.count("requests.answered")
         return split_answer(reply.status, reply.body)
 
+    def _note_break(self, request: StartRequest) -> None:
+        if not self._is_left(request):
+            self._rules.on_broken(self._clock.monotonic(), request.era)
+        self._note_sign(request, "reset")
+
+    def _note_sign(self, request: StartRequest, reason: str) -> None:
+        """Report a sign of a cold start."""
+        if not self._is_left(request):
+            self._note_cold(reason)
+
+    def _is_left(self, request: StartRequest) -> bool:
+        """Tell whether the caller has left the request or its flow.
+
+        The agent itself closes the connection of a flow that has ended, and a server
+        may close that of a request it cancels, so that a failure of either says
+        nothing about the server.
+        """
+        key = (request.flow_id, request.number)
+        return key in self._withdrawn or request.flow_id not in self._rules.flows
+
     async def _run_stream(self, request: StartRequest) -> None:
         key = (request.flow_id, request.number)
         try:
@@ -143,7 +165,10 @@
         task = self._running.get((effect.flow_id, effect.number))
         if task is None:
             return
-        await self._backend.cancel(effect.flow_id, effect.number)
+        key = (effect.flow_id, effect.number)
+        self._withdrawn.add(key)
+        await self._backend.cancel(*key)
+        self._withdrawn.discard(key)
         task.cancel()
 
 
--- a/src/berylturn/request/ledger.py
+++ b/src/berylturn/request/ledger.py
@@ -108,6 +108,10 @@
         self._running.add(number)
         return Verdict.RUN
 
+    def resume(self, number: int) -> None:
+        """Count a number that a predecessor had running, also below the floor."""
+        self._running.add(number)
+
     def outcome(self, number: int) -> Outcome:
         """Return the kept outcome, or an unknown one."""
         return self._finished.get(number, MayHaveRun())
--- a/src/berylturn_standins/scenarios.py
+++ b/src/berylturn_standins/scenarios.py
@@ -172,14 +172,16 @@
     await asyncio.sleep(4 * SETTLE_SECONDS)
 
 
-async def fail_platform(deployment: Deployment) -> None:
+async def fail_platform(
+    deployment: Deployment, seconds: float = 2 * SETTLE_SECONDS
+) -> None:
     """Let the platform be down while a balancer dies and another joins."""
     await deployment.post("platform", "/_switches", {"outage": True})
     await deployment.kill(deployment.plan.balancers[0].name)
     centre = deployment.plan.balancers[0].data_centre
     await deployment.start_balancer(BalancerPlan("entry-late", centre))
     await wait_fabric(deployment, len(deployment.plan.balancers))
-    await asyncio.sleep(2 * SETTLE_SECONDS)
+    await asyncio.sleep(seconds)
     await deployment.post("platform", "/_switches", {"outage": False})
     await asyncio.sleep(SETTLE_SECONDS)
 
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import socket
 import unittest
@@ -12,7 +13,12 @@
 from nose2.tools import params
 
 from berylturn.connection.admission import AgentRules
-from berylturn.connection.effects import SendToCaller, StartRequest
+from berylturn.connection.effects import (
+    CancelRequest,
+    ReleaseFlow,
+    SendToCaller,
+    StartRequest,
+)
 from berylturn.connection.frames import ToAgent
 from berylturn.connection.gate import AdmissionGate, Limits
 from berylturn.connection.keys import Key, KeyRing
@@ -20,6 +26,8 @@
 from berylturn.connection.packets import (
     Accepted,
     AnswerPart,
+    Cancel,
+    Close,
     Open,
     Request,
     RequestNotRun,
@@ -121,6 +129,10 @@
         for effect in self.rules.outbox.take_effects():
             if isinstance(effect, StartRequest):
                 self.runner.start(effect)
+            elif isinstance(effect, CancelRequest):
+                self.tasks.spawn(self.runner.cancel(effect))
+            elif isinstance(effect, ReleaseFlow):
+                self.tasks.spawn(self.backend.release(effect.flow_id))
             elif isinstance(effect, SendToCaller):
                 self.take(decode_to_caller(effect.packet))
 
@@ -158,6 +170,28 @@
     return bytes([index]) * 16
 
 
+class Leaving(unittest.TestCase):
+    """Callers that leave while their request connects or runs."""
+
+    @params(*itertools.product((Cancel, Close), range(0, 24, 2)))
+    def test_is_no_sign_of_a_cold_start(self, kind, turns):
+        asyncio.run(self.check_leaving(kind, turns))
+
+    async def check_leaving(self, kind, turns):
+        async with Beside() as beside:
+            beside.send(flow(0), work_ms=200)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            token = beside.tokens[flow(0)]
+            beside.deliver(Cancel(token, 0) if kind is Cancel else Close(token))
+            while beside.rules.gate.running:
+                await asyncio.sleep(0.01)
+            self.assertEqual(beside.rules.gate.era, 0)
+            beside.send(flow(1))
+            while AnswerPart not in await beside.collect(1):
+                continue
+
+
 class Sockets(unittest.TestCase):
     """Connections to the backend server."""
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -17,7 +17,8 @@
 )
 
 from berylturn.connection.admission import AgentRules, split_answer
-from berylturn.connection.effects import SendToCaller, StartRequest
+from berylturn.connection.effects import CancelRequest, SendToCaller, StartRequest
+from berylturn.connection.flow import Flow, Stream
 from berylturn.connection.frames import (
     ConfigObject,
     GossipAck,
@@ -303,6 +304,20 @@
         self.assertEqual((machine.not_run, machine.started), ({(FLOWS[0], 0)}, {}))
 
 
+class ResumedStream(unittest.TestCase):
+    """A stream that a successor resumes, older than the low-water mark."""
+
+    def test_ends_with_its_flow(self):
+        rules = make_rules(7, 100.0)
+        flow = Flow(FLOWS[0], "booking", b"", CALLER, BALANCER, 100.0, 100.0)
+        flow.ledger.restore(5, {})
+        flow.streams = {0: Stream(b"board")}
+        rules.restore([flow], 100.0)
+        rules.outbox.take_effects()
+        rules.set_server_up(False, 101.0)
+        self.assertIn(CancelRequest(FLOWS[0], 0), rules.outbox.take_effects())
+
+
 class FailedHandOver(unittest.TestCase):
     """An agent that has parked and then could not hand over."""
 
