Say once what stood twice in the store, the runner and the scenarios

Cause: a second reading of the change. The store parsed the newest object anew to learn whether it is valid, though it already keeps the names whose newest form is invalid; the runner refused an unreachable server in two places; pausing an agent and a balancer, and losing a balancer while another joins, were written twice, as was the one-server configuration of two tests.

Change: in_force and the merge of older forms ask the recorded state instead of the parser; one function for each of the others. Behaviour and assertions are as before.

--- a/src/berylturn/process/runner.py
+++ b/src/berylturn/process/runner.py
@@ -85,8 +85,7 @@
             await self._backend.prepare(request.flow_id)
             refusal = None
         except ConnectError:
-            self._note_sign(request, "unreachable")
-            refusal = DidNotRun(RefusalReason.UNREACHABLE, UNREACHABLE_RETRY_MS)
+            refusal = self._refuse_unreachable(request)
         finally:
             if refusal is not None:
                 self._finish(request, refusal, 0.0)
@@ -114,8 +113,7 @@
         try:
             reply = await self._backend.run(call)
         except ConnectError:
-            self._note_sign(request, "unreachable")
-            return DidNotRun(RefusalReason.UNREACHABLE, UNREACHABLE_RETRY_MS)
+            return self._refuse_unreachable(request)
         except ShedError:
             self._note_sign(request, "shed")
             return DidNotRun(RefusalReason.SHED, SHED_RETRY_MS)
@@ -129,6 +127,10 @@
         self._metrics.count("requests.answered")
         return split_answer(reply.status, reply.body)
 
+    def _refuse_unreachable(self, request: StartRequest) -> DidNotRun:
+        self._note_sign(request, "unreachable")
+        return DidNotRun(RefusalReason.UNREACHABLE, UNREACHABLE_RETRY_MS)
+
     def _note_break(self, request: StartRequest) -> None:
         if not self._is_left(request):
             self._rules.on_broken(self._clock.monotonic(), request.era)
--- a/src/berylturn/version/objects.py
+++ b/src/berylturn/version/objects.py
@@ -63,11 +63,9 @@
 
     def in_force(self, name: str) -> ConfigObject | None:
         """Return the newest valid object of that name, or None."""
-        older = self._older_valid.get(name)
-        newest = self._objects.get(name)
-        if older is not None or newest is None:
-            return older
-        return newest if self.is_valid(newest) else None
+        if name in self._invalid_since:
+            return self._older_valid.get(name)
+        return self._objects.get(name)
 
     def forms(self, name: str) -> list[ConfigObject]:
         """Return what another store needs of one name: at most two objects."""
@@ -149,7 +147,8 @@
 
     def _keep_older(self, item: ConfigObject, newest: ConfigObject) -> bool:
         """Keep an object that is in force as long as the newest is invalid."""
-        if item.version == newest.version or self.is_valid(newest):
+        newest_is_valid = item.name not in self._invalid_since
+        if item.version == newest.version or newest_is_valid:
             return False
         valid = self._older_valid.get(item.name)
         if not self.is_valid(item) or (valid and valid.version >= item.version):
--- a/src/berylturn_standins/scenarios.py
+++ b/src/berylturn_standins/scenarios.py
@@ -99,16 +99,16 @@
 
 async def pause_agent(deployment: Deployment) -> None:
     """Freeze one agent for longer than every time-out, then resume it."""
-    name = f"{deployment.plan.servers[0].name}-agent"
-    await deployment.signal(name, signal.SIGSTOP)
-    await asyncio.sleep(8 * SETTLE_SECONDS)
-    await deployment.signal(name, signal.SIGCONT)
-    await asyncio.sleep(2 * SETTLE_SECONDS)
+    await pause_process(deployment, f"{deployment.plan.servers[0].name}-agent")
 
 
 async def pause_balancer(deployment: Deployment) -> None:
     """Freeze one balancer for longer than every time-out, then resume it."""
-    name = deployment.plan.balancers[0].name
+    await pause_process(deployment, deployment.plan.balancers[0].name)
+
+
+async def pause_process(deployment: Deployment, name: str) -> None:
+    """Freeze a process for longer than every time-out, then resume it."""
     await deployment.signal(name, signal.SIGSTOP)
     await asyncio.sleep(8 * SETTLE_SECONDS)
     await deployment.signal(name, signal.SIGCONT)
@@ -226,11 +226,8 @@
 
 async def drain_while_balancers_change(deployment: Deployment) -> None:
     """Drain one backend server while a balancer dies and another joins."""
-    dying = deployment.plan.balancers[0]
     await asyncio.gather(
-        drain_server(deployment),
-        deployment.kill(dying.name),
-        deployment.start_balancer(BalancerPlan("entry-late", dying.data_centre)),
+        drain_server(deployment), replace_killed_balancer(deployment, 0)
     )
 
 
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -41,11 +41,10 @@
 from berylturn.process.runner import BackendRunner
 from berylturn.process.tasks import TaskGroup
 from berylturn.request.queue import RequestQueue
-from berylturn.version.view import View
 from berylturn_standins.backend import BackendStandIn, Shape
 from berylturn_standins.ports import HOST, free_port
 
-from .test_rules import labels, selector
+from .test_rules import make_desk_view
 
 CLOCK = SystemClock()
 CALLER = (HOST, 1)
@@ -58,14 +57,6 @@
 TICK_SECONDS = 0.02
 
 
-def make_view() -> View:
-    """Return a configuration with the one server and its service."""
-    limits = {"slots": "3", "cold-limit": "1", "cold-seconds": "0.1"}
-    view = View()
-    view.apply([labels("desk", 1, **limits), selector(2)])
-    return view
-
-
 class Beside:
     """One agent's rules and runner beside a stand-in, in one event loop."""
 
@@ -91,7 +82,7 @@
             KeyRing(Key(1, bytes(16))),
             gate,
             RequestQueue(8),
-            make_view(),
+            make_desk_view(SHAPE.cold_seconds, SHAPE.slots),
             flow_idle=60.0,
         )
         self.runner = BackendRunner(
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -54,6 +54,8 @@
 from berylturn.request.queue import RequestQueue
 from berylturn.version.view import View
 
+from .test_rules import make_desk_view
+
 FUZZ = settings(
     derandomize=True,
     deadline=None,
@@ -69,25 +71,6 @@
 COLD_SECONDS = 2.0
 
 
-def make_view() -> View:
-    """Return a configuration with one service and one labelled server."""
-    labels = {
-        "app": "booking",
-        "slots": str(SLOTS),
-        "cold-limit": "1",
-        "cold-seconds": str(COLD_SECONDS),
-    }
-    selector = {"service": "booking", "address": "127.0.0.1:9", "match": "app=booking"}
-    view = View()
-    view.apply(
-        [
-            ConfigObject("server/desk", 1, json.dumps({"labels": labels}).encode()),
-            ConfigObject("selector/booking", 2, json.dumps(selector).encode()),
-        ]
-    )
-    return view
-
-
 def make_rules(incarnation: int, now: float) -> AgentRules:
     """Return the rules of an agent with that configuration."""
     rules = AgentRules(
@@ -95,7 +78,7 @@
         KEYS,
         AdmissionGate(Limits(), now),
         RequestQueue(3),
-        make_view(),
+        make_desk_view(COLD_SECONDS, SLOTS),
         flow_idle=1000.0,
     )
     rules.tick(now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -67,6 +67,15 @@
     return view
 
 
+def make_desk_view(cold_seconds, slots=3):
+    """Return a configuration with one labelled server and its service."""
+    limits = {"slots": str(slots), "cold-limit": "1"}
+    limits["cold-seconds"] = str(cold_seconds)
+    view = View()
+    view.apply([labels("desk", 1, **limits), selector(2)])
+    return view
+
+
 def flows(count):
     return [i.to_bytes(16) for i in range(count)]
 
