--- /dev/null
+++ b/src/berylturn/connection/opening_gate.py
@@ -0,0 +1,250 @@
+"""Gate for new passthrough flows, beside one backend server.
+
+Load pattern: a server that has just started gets the openings of a whole crowd at
+once. Every opening passes the one agent beside the server, so a sliding window there
+bounds the sum over all balancers. The flows themselves are counted by the gate that
+the other kind of flow uses.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from ..version.routes import ServiceLimits
+from .gate import AdmissionGate, Limits
+
+# A second, as the platform's cold limit counts, and the spread of delivery.
+COLD_WINDOW_SECONDS = 1.1
+# Openings below the platform's bound, for packets that were under way.
+COLD_MARGIN = 1
+# A backend server reports about once in its heartbeat interval; two may be lost.
+REPORTS_MISSED = 2.5
+# Silence of the newer incarnation after which an older start time is believed: a
+# server whose clock was set back starts with one.
+SUPERSEDED_SECONDS = 2.5
+# A backend server that runs answers an opening within milliseconds.
+UNANSWERED_SECONDS = 0.25
+FLOW_RATE = 10_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class BackendReport:
+    """What a backend server says of itself in one heartbeat.
+
+    Attributes
+    ----------
+    identifier : str
+        Name that it gave itself; a restart may keep it.
+    started_ms : int
+        Unix milliseconds of its start; with `sequence` it orders reports.
+    sequence : int
+        Rises with each report of one start.
+    service, data_centre, address : str
+        What it serves and where.
+    slots : int
+        Requests that it works on at once.
+    draining : bool
+        Whether it leaves.
+    cold_seconds : float
+        How much longer it stays slow after its start.
+    """
+
+    identifier: str
+    started_ms: int
+    sequence: int
+    service: str
+    data_centre: str
+    address: str
+    slots: int
+    draining: bool
+    cold_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class GateBounds:
+    """Bounds from the settings.
+
+    Attributes
+    ----------
+    cold_factor, cold_slack : float
+        Openings a second at a cold server: rate times factor, plus slack.
+    report_seconds : float
+        Time between two reports of the backend server.
+    """
+
+    cold_factor: float
+    cold_slack: float
+    report_seconds: float
+
+
+class OpeningGate:
+    """Say which new flows the backend server gets.
+
+    Parameters
+    ----------
+    bounds : GateBounds
+        Bounds from the settings.
+    now : float
+        Seconds on the monotonic clock. The gate is closed until the first report,
+        and a predecessor may have used up the cold limit of the last second.
+    """
+
+    def __init__(self, bounds: GateBounds, now: float) -> None:
+        self._bounds = bounds
+        self._started = now
+        self._limits = ServiceLimits()
+        self._flows = AdmissionGate(Limits(flow_rate=FLOW_RATE), now)
+        self._report: BackendReport | None = None
+        self._reported_at = now
+        self._doubtful: BackendReport | None = None
+        self._gone = False
+        self._evacuated = False
+        self._cold_until = now
+        self._warm_floor = now
+        self._cold_openings: deque[float] = deque()
+        self._unanswered: dict[bytes, float] = {}
+
+    @property
+    def report(self) -> BackendReport | None:
+        """Return the newest report of the backend server that runs now."""
+        return None if self._gone else self._report
+
+    @property
+    def has_left(self) -> bool:
+        """Tell whether the backend server has said that it is gone."""
+        return self._gone
+
+    @property
+    def open_flows(self) -> int:
+        """Return how many flows are counted."""
+        return self._flows.flows
+
+    @property
+    def reported_at(self) -> float:
+        """Return when the newest report came."""
+        return self._reported_at
+
+    def take_report(self, report: BackendReport, now: float) -> bool:
+        """Take a report if it is the newest; return whether the server restarted."""
+        held = self._report
+        if held is not None and not self._is_newer(report, held, now):
+            return False
+        restarted = held is not None and report.started_ms != held.started_ms
+        self._report = report
+        self._reported_at = now
+        self._gone = False
+        self._doubtful = None
+        self._unanswered.clear()
+        self._cold_until = max(self._cold_until, now + report.cold_seconds)
+        if report.cold_seconds <= 0 and not restarted:
+            self._cold_until = min(self._cold_until, max(now, self._warm_floor))
+        self._flows.draining = report.draining
+        return restarted
+
+    def leave(self, identifier: str) -> bool:
+        """Note that the backend server has left; return whether it was this one."""
+        if self._report is None or self._report.identifier != identifier:
+            return False
+        self._gone = True
+        return True
+
+    def mark_down(self, down: bool) -> None:
+        """Note whether the backend server is known not to run."""
+        self._flows.down = down
+
+    def set_limits(self, limits: ServiceLimits, now: float) -> None:
+        """Put new limits of the service in force."""
+        self._limits = limits
+        connections = Limits(connections=limits.connections, flow_rate=FLOW_RATE)
+        self._flows.set_limits(connections, now)
+
+    def set_evacuated(self, evacuated: bool, now: float) -> None:
+        """Take the server out, or back in; it is cold when it comes back."""
+        if self._evacuated and not evacuated:
+            self._warm_floor = now + self._limits.cold_seconds
+            self._cold_until = max(self._cold_until, self._warm_floor)
+        self._evacuated = evacuated
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the server is in cold start."""
+        return now < self._cold_until
+
+    def refusal(self, service: str, now: float) -> str | None:
+        """Return why an opening is not admitted now, or None."""
+        report = self.report
+        if report is None:
+            return "no_report"
+        if report.service != service:
+            return "other_service"
+        if self._evacuated:
+            return "data_centre_out"
+        if self._flows.draining:
+            return "draining"
+        if self._flows.down:
+            return "down"
+        if now - self._reported_at > REPORTS_MISSED * self._bounds.report_seconds:
+            return "silent"
+        if self._is_stuck(now):
+            return "unanswered"
+        if self._flows.flows >= self._limits.connections:
+            return "full"
+        if self.is_cold(now) and not self._has_cold_room(now):
+            return "cold"
+        return None
+
+    def admit(self, flow: bytes, now: float) -> None:
+        """Count an opening that `refusal` lets pass."""
+        self._flows.add_flow()
+        self._note_opening(now)
+        self._unanswered.setdefault(flow, now)
+
+    def on_answer(self) -> None:
+        """Note a packet of the backend server, which proves that it runs."""
+        if self._unanswered:
+            self._unanswered.clear()
+        self._flows.down = False
+
+    def add_found(self) -> None:
+        """Count a flow that was opened before this process began."""
+        self._flows.add_flow()
+
+    def end_flow(self) -> None:
+        """Count a flow as ended."""
+        self._flows.end_flow()
+
+    def _is_newer(self, report: BackendReport, held: BackendReport, now: float) -> bool:
+        if report.started_ms == held.started_ms:
+            return report.sequence > held.sequence
+        if report.started_ms > held.started_ms:
+            return True
+        doubtful, self._doubtful = self._doubtful, report
+        return (
+            doubtful is not None
+            and doubtful.started_ms == report.started_ms
+            and report.sequence > doubtful.sequence
+            and now - self._reported_at > SUPERSEDED_SECONDS
+        )
+
+    def _is_stuck(self, now: float) -> bool:
+        if not self._unanswered:
+            return False
+        oldest = next(iter(self._unanswered.values()))
+        return now - oldest > UNANSWERED_SECONDS
+
+    def _has_cold_room(self, now: float) -> bool:
+        if now - self._started < COLD_WINDOW_SECONDS:
+            return False
+        self._forget_old_openings(now)
+        bounds = self._bounds
+        allowed = self._limits.cold_rate * bounds.cold_factor + bounds.cold_slack
+        return len(self._cold_openings) < int(allowed) - COLD_MARGIN
+
+    def _note_opening(self, now: float) -> None:
+        self._forget_old_openings(now)
+        self._cold_openings.append(now)
+
+    def _forget_old_openings(self, now: float) -> None:
+        openings = self._cold_openings
+        while openings and now - openings[0] > COLD_WINDOW_SECONDS:
+            openings.popleft()
--- /dev/null
+++ b/src/berylturn/connection/passthrough.py
@@ -0,0 +1,566 @@
+"""An agent's rules for passthrough flows, free of I/O.
+
+The backend server's own packets say which flows it holds. A packet of a flow that is
+not in the table is offered to the backend server, which hands it back if it does not
+hold the flow; then the next agent in the flow's order gets it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from ..version.owners import AgentEntry, rank_agents
+from ..version.routes import RouteTable
+from .load_board import LoadBoard, choose_for_opening
+from .opening_gate import OpeningGate
+from .peer_frames import Forward, LoadReport, Owned, PeerFrame, Registered
+from .segments import Segment, SegmentCodec, caller_host
+
+SEQUENCE_RANGE = 1 << 32
+# Twice the 16 packets of 1,200 bytes that may be under way, and the platform's own
+# bound for the place of a reset (76,800).
+ACCEPTED_WINDOW = 76_800
+MAX_TAG = (1 << 32) - 1
+# An opening that no agent admits is answered before its first copy (200 ms).
+MAX_OPENING_HOPS = 4
+OFFER_SECONDS = 2.0
+HALF_OPEN_SECONDS = 1.5
+CLOSED_SECONDS = 3.0
+IDLE_MARGIN_SECONDS = 5.0
+MAX_REGISTERED = 100_000
+# Weight of the newest half second in the mean of requests under way.
+BUSY_SMOOTHING = 0.5
+
+
+class FlowState(Enum):
+    """How far a flow is."""
+
+    HALF_OPEN = 0
+    OPEN = 1
+    CLOSED = 2
+
+
+@dataclass(slots=True)
+class PassthroughFlow:
+    """One flow of the backend server.
+
+    Attributes
+    ----------
+    data_centre : str
+        Where it entered; empty until a caller's packet told.
+    first_sequence : int or None
+        Position at which the backend server began; tells its answers to an opening
+        apart from those of other servers.
+    last_packet : bytes
+        Newest packet of the caller, sent again to ask whether the flow still lives.
+    """
+
+    state: FlowState
+    opened_at: float
+    seen_at: float
+    data_centre: str = ""
+    first_sequence: int | None = None
+    last_packet: bytes = b""
+    home: str = ""
+    caller_closed: bool = False
+    backend_closed: bool = False
+    busy_since: float | None = None
+
+
+@dataclass(slots=True)
+class ToBackend:
+    """Send a datagram to the backend server."""
+
+    data: bytes
+
+
+@dataclass(slots=True)
+class ToCaller:
+    """Send a datagram to a caller."""
+
+    host: str
+    data: bytes
+
+
+@dataclass(slots=True)
+class ToPeer:
+    """Send a frame to another node."""
+
+    host: str
+    frame: PeerFrame
+
+
+PassthroughEffect = ToBackend | ToCaller | ToPeer
+Decide = Callable[..., None]
+
+
+class PassthroughAgent:
+    """Own the flows of one backend server.
+
+    Parameters
+    ----------
+    host : str
+        IP address of the agent.
+    gate : OpeningGate
+        Says which openings are admitted.
+    board : LoadBoard
+        Load of the siblings.
+    codec : SegmentCodec
+        Builds packets.
+    decide : callable
+        Told of each decision: event name, flow key and the inputs.
+    observe : callable
+        Told of each response time in seconds.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        gate: OpeningGate,
+        board: LoadBoard,
+        codec: SegmentCodec,
+        decide: Decide,
+        observe: Callable[[float], None],
+    ) -> None:
+        self._host = host
+        self._gate = gate
+        self._board = board
+        self._codec = codec
+        self._decide = decide
+        self._observe = observe
+        self._table = RouteTable()
+        self._agents: dict[str, list[AgentEntry]] = {}
+        self._out: frozenset[str] = frozenset()
+        self._flows: dict[bytes, PassthroughFlow] = {}
+        self._registered: dict[bytes, tuple[str, float]] = {}
+        self._offers: dict[int, tuple[Forward, Segment, float]] = {}
+        self._asking: dict[bytes, Forward] = {}
+        self._next_tag = 1
+        self._news: dict[str, list[bytes]] = {}
+        self._running = 0
+        self._busy = 0.0
+        self._busy_area = 0.0
+        self._busy_at = 0.0
+        self._busy_from = 0.0
+        self.newest: list[int] = []
+        self.leaving = False
+
+    @property
+    def flows(self) -> dict[bytes, PassthroughFlow]:
+        """Return the flows that are known."""
+        return self._flows
+
+    @property
+    def running(self) -> int:
+        """Return how many requests are under way."""
+        return self._running
+
+    @property
+    def registered(self) -> int:
+        """Return how many flows of siblings are registered here."""
+        return len(self._registered)
+
+    def set_table(self, table: RouteTable) -> None:
+        """Put a newer version of the routes in force."""
+        self._table = table
+
+    def set_agents(
+        self, agents: dict[str, list[AgentEntry]], out: frozenset[str]
+    ) -> None:
+        """Take the agents by service, and the data centres that are out."""
+        self._agents = agents
+        self._out = out
+        for key, flow in self._flows.items():
+            if flow.state is FlowState.OPEN:
+                self._register(key, flow)
+
+    def load_report(self, now: float) -> LoadReport:
+        """Return what siblings and balancers are told."""
+        report = self._gate.report
+        service = report.service if report is not None else ""
+        return LoadReport(
+            accepting=self._gate.refusal(service, now) is None,
+            busy=self._busy,
+            running=self._running,
+            slots=report.slots if report is not None else 1,
+            flows=self._gate.open_flows,
+            newest=self.newest,
+            leaving=self.leaving,
+        )
+
+    def smooth_load(self, now: float) -> None:
+        """Average the requests under way since the last call."""
+        self._count_busy(0, now)
+        seconds = now - self._busy_from
+        if seconds > 0:
+            mean = self._busy_area / seconds
+            self._busy += BUSY_SMOOTHING * (mean - self._busy)
+        self._busy_area = 0.0
+        self._busy_from = now
+
+    def on_forward(
+        self, frame: Forward, segment: Segment, now: float
+    ) -> list[PassthroughEffect]:
+        """Take a caller's packet that a balancer or a sibling sent on."""
+        if segment.opening:
+            return self._on_opening(frame, segment, now)
+        flow = self._flows.get(segment.flow)
+        if flow is not None and self._is_of_flow(flow, segment):
+            return self._deliver(frame, segment, flow, now)
+        if flow is not None:
+            self._drop_flow(segment.flow)
+        return self._look_for(frame, segment, now)
+
+    def on_backend(self, segment: Segment, now: float) -> list[PassthroughEffect]:
+        """Take a packet of the backend server, or one that it handed back."""
+        if segment.returned:
+            return self._on_returned(segment, now)
+        self._gate.on_answer()
+        flow = self._flows.get(segment.flow)
+        effects: list[PassthroughEffect] = []
+        if flow is None:
+            if not segment.reset:
+                effects = self._learn(segment, now)
+        else:
+            self._note_backend(segment, flow, now)
+        effects.append(ToCaller(caller_host(segment.flow), segment.data))
+        return effects
+
+    def on_registered(self, host: str, flows: Iterable[bytes], now: float) -> None:
+        """Note which agent owns flows that this one is first in the order of."""
+        for key in flows:
+            self._registered[key] = (host, now)
+        while len(self._registered) > MAX_REGISTERED:
+            self._registered.pop(next(iter(self._registered)))
+
+    def on_restarted(self) -> list[PassthroughEffect]:
+        """Ask the new backend server about each flow of the old one."""
+        return [
+            ToBackend(flow.last_packet)
+            for flow in self._flows.values()
+            if flow.last_packet and flow.state is FlowState.OPEN
+        ]
+
+    def on_backend_dead(self, reason: str) -> list[PassthroughEffect]:
+        """End all flows of a backend server that certainly does not run."""
+        effects: list[PassthroughEffect] = []
+        for key in list(self._flows):
+            effects += self._end_lost(key, reason)
+        return effects
+
+    def sweep(self, now: float, max_flow_seconds: float) -> None:
+        """Forget flows that are over, and offers that got no answer."""
+        idle = self._table.idle_seconds + IDLE_MARGIN_SECONDS
+        for key, flow in list(self._flows.items()):
+            quiet = now - flow.seen_at
+            limit = {
+                FlowState.HALF_OPEN: HALF_OPEN_SECONDS,
+                FlowState.OPEN: idle,
+                FlowState.CLOSED: CLOSED_SECONDS,
+            }[flow.state]
+            if quiet > limit:
+                self._drop_flow(key)
+        lasting = max_flow_seconds + IDLE_MARGIN_SECONDS
+        for key, (_, at) in list(self._registered.items()):
+            if now - at <= lasting:
+                break
+            del self._registered[key]
+        for tag, (frame, segment, at) in list(self._offers.items()):
+            if now - at <= OFFER_SECONDS:
+                break
+            del self._offers[tag]
+            if self._asking.get(segment.flow) is frame:
+                del self._asking[segment.flow]
+
+    def take_news(self) -> list[PassthroughEffect]:
+        """Return the registrations that have gathered."""
+        news, self._news = self._news, {}
+        return [ToPeer(host, Registered(flows)) for host, flows in news.items()]
+
+    def _on_opening(
+        self, frame: Forward, segment: Segment, now: float
+    ) -> list[PassthroughEffect]:
+        flow = self._flows.get(segment.flow)
+        if flow is not None and flow.state is not FlowState.CLOSED:
+            return self._deliver(frame, segment, flow, now)
+        service = self._service_of(frame, segment)
+        if service is None:
+            return self._refuse(frame, segment, "no_route", now)
+        reason = self._gate.refusal(service, now)
+        if self.leaving and reason is None:
+            reason = "stopping"
+        if reason is not None:
+            return self._pass_on(frame, segment, service, reason, now)
+        if flow is not None:
+            self._drop_flow(segment.flow)
+        self._gate.admit(segment.flow, now)
+        self._flows[segment.flow] = PassthroughFlow(
+            FlowState.HALF_OPEN, now, now, frame.data_centre, last_packet=segment.data
+        )
+        self._decide(
+            "flow_admitted",
+            segment.flow,
+            origin=frame.origin,
+            hops=len(frame.visited),
+            version=self._table.version,
+            flows=self._gate.open_flows,
+            running=self._running,
+            cold=self._gate.is_cold(now),
+            report_age=now - self._gate.reported_at,
+        )
+        tagged = self._codec.write_tag(segment.data, self._offer(frame, segment, now))
+        return [
+            ToBackend(tagged),
+            ToPeer(frame.origin, Owned(segment.flow, self.load_report(now))),
+        ]
+
+    def _service_of(self, frame: Forward, segment: Segment) -> str | None:
+        if frame.version > self._table.version:
+            return frame.service or None
+        return self._table.service_of(segment.flow)
+
+    def _pass_on(
+        self,
+        frame: Forward,
+        segment: Segment,
+        service: str,
+        reason: str,
+        now: float,
+    ) -> list[PassthroughEffect]:
+        visited = [*frame.visited, self._host]
+        ranked = rank_agents(
+            segment.flow,
+            frame.data_centre,
+            (
+                a
+                for a in self._agents.get(service, ())
+                if a.data_centre not in self._out
+            ),
+        )
+        chosen = None
+        if len(visited) < MAX_OPENING_HOPS:
+            chosen = choose_for_opening(
+                ranked, frame.data_centre, self._board, visited, now
+            )
+        if chosen is None:
+            return self._refuse(frame, segment, reason, now)
+        self._board.place(chosen.host)
+        self._decide(
+            "flow_passed_on",
+            segment.flow,
+            to=chosen.name,
+            reason=reason,
+            hops=len(visited),
+            report_age=self._board.age_of(chosen.host, now),
+        )
+        passed = replace_frame(frame, visited=visited, service=service)
+        return [ToPeer(chosen.host, passed)]
+
+    def _refuse(
+        self, frame: Forward, segment: Segment, reason: str, now: float
+    ) -> list[PassthroughEffect]:
+        self._decide(
+            "flow_refused",
+            segment.flow,
+            reason=reason,
+            hops=len(frame.visited),
+            version=self._table.version,
+            report_age=now - self._gate.reported_at,
+        )
+        reset = self._codec.build_reset(segment.flow, segment.acknowledged)
+        return [ToCaller(caller_host(segment.flow), reset)]
+
+    def _is_of_flow(self, flow: PassthroughFlow, segment: Segment) -> bool:
+        if flow.state is not FlowState.HALF_OPEN or flow.first_sequence is None:
+            return flow.state is not FlowState.HALF_OPEN
+        progress = (segment.acknowledged - flow.first_sequence) % SEQUENCE_RANGE
+        return 0 < progress <= ACCEPTED_WINDOW
+
+    def _deliver(
+        self, frame: Forward, segment: Segment, flow: PassthroughFlow, now: float
+    ) -> list[PassthroughEffect]:
+        flow.seen_at = now
+        flow.data_centre = frame.data_centre
+        flow.last_packet = segment.data
+        if not segment.opening:
+            if flow.state is FlowState.HALF_OPEN:
+                flow.state = FlowState.OPEN
+                flow.home = ""
+            if not flow.home or frame.visited:
+                self._register(segment.flow, flow, again=bool(frame.visited))
+            self._note_caller(segment, flow, now)
+        effects: list[PassthroughEffect] = [ToBackend(segment.data)]
+        if frame.report:
+            owned = Owned(segment.flow, self.load_report(now))
+            effects.append(ToPeer(frame.origin, owned))
+        return effects
+
+    def _note_caller(self, segment: Segment, flow: PassthroughFlow, now: float) -> None:
+        if segment.size and flow.busy_since is None:
+            flow.busy_since = now
+            self._count_busy(1, now)
+        if segment.closing:
+            flow.caller_closed = True
+        if segment.reset or (flow.caller_closed and flow.backend_closed):
+            self._close(flow, now)
+
+    def _note_backend(
+        self, segment: Segment, flow: PassthroughFlow, now: float
+    ) -> None:
+        flow.seen_at = now
+        if segment.accepting:
+            if flow.state is FlowState.HALF_OPEN:
+                flow.first_sequence = segment.sequence
+            return
+        if segment.size and flow.busy_since is not None:
+            self._observe(now - flow.busy_since)
+            self._idle(flow, now)
+        if segment.closing:
+            flow.backend_closed = True
+        if segment.reset or (flow.caller_closed and flow.backend_closed):
+            self._close(flow, now)
+
+    def _learn(self, segment: Segment, now: float) -> list[PassthroughEffect]:
+        flow = PassthroughFlow(FlowState.OPEN, now, now)
+        if segment.accepting:
+            flow.state = FlowState.HALF_OPEN
+            flow.first_sequence = segment.sequence
+        self._flows[segment.flow] = flow
+        self._gate.add_found()
+        frame = self._asking.pop(segment.flow, None)
+        self._decide(
+            "flow_found",
+            segment.flow,
+            origin=frame.origin if frame is not None else None,
+            hops=len(frame.visited) if frame is not None else 0,
+        )
+        if frame is None:
+            return []
+        flow.data_centre = frame.data_centre
+        if flow.state is FlowState.OPEN:
+            self._register(segment.flow, flow)
+        return [ToPeer(frame.origin, Owned(segment.flow, self.load_report(now)))]
+
+    def _look_for(
+        self, frame: Forward, segment: Segment, now: float
+    ) -> list[PassthroughEffect]:
+        owner = self._registered.get(segment.flow)
+        if owner is not None and owner[0] != self._host:
+            host = owner[0]
+            if host not in frame.visited:
+                visited = [*frame.visited, self._host]
+                return [ToPeer(host, replace_frame(frame, visited=visited))]
+        if self._host in frame.visited:
+            return []
+        if self._gate.report is None and self._gate.has_left:
+            return self._ask_next(frame, segment, now)
+        self._asking[segment.flow] = frame
+        tag = self._offer(frame, segment, now)
+        return [ToBackend(self._codec.write_tag(segment.data, tag))]
+
+    def _ask_next(
+        self, frame: Forward, segment: Segment, now: float
+    ) -> list[PassthroughEffect]:
+        visited = [*frame.visited, self._host]
+        service = self._service_of(frame, segment)
+        ranked = rank_agents(
+            segment.flow, frame.data_centre, self._agents.get(service or "", ())
+        )
+        left = [agent for agent in ranked if agent.host not in visited]
+        left.sort(key=lambda agent: self._board.is_suspect(agent.host, now))
+        if not left:
+            self._decide("flow_not_found", segment.flow, hops=len(visited))
+            return []
+        return [ToPeer(left[0].host, replace_frame(frame, visited=visited))]
+
+    def _offer(self, frame: Forward, segment: Segment, now: float) -> int:
+        tag = self._next_tag
+        self._next_tag = tag % MAX_TAG + 1
+        self._offers[tag] = (frame, segment, now)
+        return tag
+
+    def _on_returned(self, segment: Segment, now: float) -> list[PassthroughEffect]:
+        offer = self._offers.pop(segment.tag, None) if segment.tag else None
+        flow = self._flows.get(segment.flow)
+        if offer is None:
+            return self._on_flow_lost(segment, flow)
+        frame, original, _ = offer
+        if self._asking.get(segment.flow) is frame:
+            del self._asking[segment.flow]
+        if not segment.opening:
+            if flow is not None and self._is_of_flow(flow, original):
+                return []
+            return self._ask_next(frame, original, now)
+        if flow is not None and flow.state is FlowState.HALF_OPEN:
+            self._drop_flow(segment.flow)
+        service = self._service_of(frame, original)
+        if service is None:
+            return self._refuse(frame, original, "no_route", now)
+        return self._pass_on(frame, original, service, "backend_refused", now)
+
+    def _on_flow_lost(
+        self, segment: Segment, flow: PassthroughFlow | None
+    ) -> list[PassthroughEffect]:
+        if flow is None or flow.state is not FlowState.OPEN or segment.opening:
+            return []
+        if flow.caller_closed or flow.backend_closed:
+            self._drop_flow(segment.flow)
+            return []
+        return self._end_lost(segment.flow, "backend_restarted")
+
+    def _end_lost(self, key: bytes, reason: str) -> list[PassthroughEffect]:
+        flow = self._flows[key]
+        self._drop_flow(key)
+        if flow.state is FlowState.CLOSED or not flow.last_packet:
+            return []
+        newest = self._codec.decode_from_caller(flow.last_packet)
+        self._decide("flow_lost", key, reason=reason, busy=flow.busy_since is not None)
+        reset = self._codec.build_reset(key, newest.acknowledged)
+        return [ToCaller(caller_host(key), reset)]
+
+    def _register(self, key: bytes, flow: PassthroughFlow, again: bool = False) -> None:
+        service = self._table.service_of(key)
+        if service is None or not flow.data_centre:
+            return
+        agents = self._agents.get(service, ())
+        ranked = rank_agents(key, flow.data_centre, agents)
+        home = ranked[0].host if ranked else self._host
+        if home == flow.home and not again:
+            return
+        flow.home = home
+        if home != self._host:
+            self._news.setdefault(home, []).append(key)
+
+    def _close(self, flow: PassthroughFlow, now: float) -> None:
+        self._idle(flow, now)
+        flow.state = FlowState.CLOSED
+
+    def _idle(self, flow: PassthroughFlow, now: float) -> None:
+        if flow.busy_since is not None:
+            flow.busy_since = None
+            self._count_busy(-1, now)
+
+    def _drop_flow(self, key: bytes) -> None:
+        flow = self._flows.pop(key)
+        self._idle(flow, self._busy_at)
+        self._gate.end_flow()
+
+    def _count_busy(self, change: int, now: float) -> None:
+        self._busy_area += self._running * (now - self._busy_at)
+        self._busy_at = now
+        self._running += change
+
+
+def replace_frame(frame: Forward, visited: list[str], service: str = "") -> Forward:
+    """Return the frame for the next agent, which answers the balancer itself."""
+    return Forward(
+        frame.origin,
+        frame.data_centre,
+        frame.version,
+        service or frame.service,
+        visited,
+        True,
+        frame.data,
+    )
--- /dev/null
+++ b/src/berylturn/connection/passthrough_router.py
@@ -0,0 +1,205 @@
+"""A balancer's rules for passthrough flows, free of I/O.
+
+A balancer keeps hints only: which agent owns a flow it has seen. Without a hint a
+packet goes to the first agent in the flow's order, which has it or knows who does.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..version.owners import AgentEntry, rank_agents
+from ..version.routes import RouteTable
+from .load_board import LoadBoard, choose_for_opening
+from .passthrough import PassthroughEffect, ToCaller, ToPeer
+from .peer_frames import Ended, Forward, Load, Owned
+from .segments import Segment, SegmentCodec, caller_host
+
+# About 100 bytes each; at the target size a balancer sees 12,000 flows of its own.
+MAX_HINTS = 50_000
+# A hint is asked again after this, so that a moved or dead agent is noticed.
+HINT_REFRESH_SECONDS = 1.0
+# Agents that got a packet lately are asked for their load; the rest are not.
+INTEREST_SECONDS = 10.0
+
+
+@dataclass(slots=True)
+class _Hint:
+    host: str
+    confirmed_at: float
+
+
+@dataclass
+class Directory:
+    """Agents in force, by service and by IP address."""
+
+    by_service: dict[str, list[AgentEntry]] = field(default_factory=dict)
+    by_host: dict[str, AgentEntry] = field(default_factory=dict)
+
+
+class PassthroughRouter:
+    """Send callers' packets on to agents.
+
+    Parameters
+    ----------
+    host, data_centre : str
+        IP address and data centre of the balancer.
+    board : LoadBoard
+        Load of the agents.
+    codec : SegmentCodec
+        Builds packets.
+    decide : callable
+        Told of each decision: event name, flow key and the inputs.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        data_centre: str,
+        board: LoadBoard,
+        codec: SegmentCodec,
+        decide: Callable[..., None],
+    ) -> None:
+        self._host = host
+        self._data_centre = data_centre
+        self._board = board
+        self._codec = codec
+        self._decide = decide
+        self._table: RouteTable | None = None
+        self._directory = Directory()
+        self._out: frozenset[str] = frozenset()
+        self._hints: dict[bytes, _Hint] = {}
+        self._used: dict[str, float] = {}
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether routes and agents are known."""
+        return self._table is not None and bool(self._directory.by_host)
+
+    @property
+    def hints(self) -> int:
+        """Return how many flows have a hint."""
+        return len(self._hints)
+
+    def set_table(self, table: RouteTable) -> None:
+        """Put a newer version of the routes in force."""
+        self._table = table
+
+    def set_directory(self, directory: Directory, out: frozenset[str]) -> None:
+        """Take the agents, and the data centres that are out."""
+        self._directory = directory
+        self._out = out
+        self._board.keep_only(directory.by_host.keys())
+
+    def interesting(self, now: float) -> list[str]:
+        """Return the agents whose load matters to this balancer."""
+        for host, at in list(self._used.items()):
+            if now - at > INTEREST_SECONDS or host not in self._directory.by_host:
+                del self._used[host]
+        return list(self._used)
+
+    def silent_agents(self, seconds: float, now: float) -> list[tuple[str, float]]:
+        """Return names of agents that have owed an answer for so long, and how long."""
+        return [
+            (entry.name, silent)
+            for host, entry in self._directory.by_host.items()
+            if (silent := self._board.silent_seconds(host, now)) > seconds
+        ]
+
+    def on_caller(self, segment: Segment, now: float) -> list[PassthroughEffect]:
+        """Take a packet from a caller."""
+        table = self._table
+        if table is None:
+            return []
+        if segment.opening:
+            return self._on_opening(segment, table, now)
+        hint = self._hints.get(segment.flow)
+        if hint is not None and hint.host in self._directory.by_host:
+            ask = now - hint.confirmed_at > HINT_REFRESH_SECONDS
+            if ask:
+                hint.confirmed_at = now
+            return [self._forward(segment, hint.host, table, "", ask, now)]
+        service = table.service_of(segment.flow)
+        if service is None:
+            return []
+        ranked = rank_agents(
+            segment.flow,
+            self._data_centre,
+            self._directory.by_service.get(service, ()),
+        )
+        if not ranked:
+            return []
+        first = next(
+            (a for a in ranked if not self._board.is_suspect(a.host, now)), ranked[0]
+        )
+        return [self._forward(segment, first.host, table, service, True, now)]
+
+    def on_frame(self, host: str, frame: Owned | Load | Ended, now: float) -> None:
+        """Take what an agent says."""
+        self._board.hear(host, frame.load, now)
+        if type(frame) is Owned:
+            self._hints.pop(frame.flow, None)
+            self._hints[frame.flow] = _Hint(host, now)
+            if len(self._hints) > MAX_HINTS:
+                del self._hints[next(iter(self._hints))]
+        elif type(frame) is Ended:
+            self._hints.pop(frame.flow, None)
+
+    def _on_opening(
+        self, segment: Segment, table: RouteTable, now: float
+    ) -> list[PassthroughEffect]:
+        service = table.service_of(segment.flow)
+        if service is None:
+            return self._refuse(segment, "no_route", table, now)
+        hint = self._hints.get(segment.flow)
+        if hint is not None and not self._board.is_suspect(hint.host, now):
+            return [self._forward(segment, hint.host, table, service, True, now)]
+        agents = self._directory.by_service.get(service, ())
+        ranked = rank_agents(
+            segment.flow,
+            self._data_centre,
+            (agent for agent in agents if agent.data_centre not in self._out),
+        )
+        chosen = choose_for_opening(ranked, self._data_centre, self._board, (), now)
+        if chosen is None and ranked:
+            # What is known may be old; the agents themselves decide.
+            chosen = ranked[0]
+        if chosen is None:
+            return self._refuse(segment, "no_backend_server", table, now)
+        self._board.place(chosen.host)
+        self._decide(
+            "flow_placed",
+            segment.flow,
+            to=chosen.name,
+            service=service,
+            place=ranked.index(chosen),
+            version=table.version,
+            pressure=self._board.pressure(chosen.host, now),
+            report_age=self._board.age_of(chosen.host, now),
+        )
+        return [self._forward(segment, chosen.host, table, service, True, now)]
+
+    def _refuse(
+        self, segment: Segment, reason: str, table: RouteTable, now: float
+    ) -> list[PassthroughEffect]:
+        self._decide("flow_refused", segment.flow, reason=reason, version=table.version)
+        reset = self._codec.build_reset(segment.flow, segment.acknowledged)
+        return [ToCaller(caller_host(segment.flow), reset)]
+
+    def _forward(
+        self,
+        segment: Segment,
+        host: str,
+        table: RouteTable,
+        service: str,
+        ask: bool,
+        now: float,
+    ) -> ToPeer:
+        if ask:
+            self._board.ask(host, now)
+        self._used[host] = now
+        frame = Forward(
+            self._host, self._data_centre, table.version, service, [], ask, segment.data
+        )
+        return ToPeer(host, frame)
--- /dev/null
+++ b/src/berylturn/connection/peer_frames.py
@@ -0,0 +1,122 @@
+"""Frames about passthrough flows between balancers and agents.
+
+They travel between the nodes' own ports, which callers do not reach, so unlike the
+frames of `connection.frames` they are not signed; no secret is given to the nodes.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..errors import PacketError
+
+
+class LoadReport(msgspec.Struct, array_like=True, frozen=True):
+    """What an agent says of its backend server.
+
+    Attributes
+    ----------
+    accepting : bool
+        Whether new flows are welcome.
+    busy : float
+        Requests under way, averaged over about a second.
+    running : int
+        Requests under way now.
+    slots : int
+        Requests that the server works on at once.
+    flows : int
+        Flows that are open.
+    newest : list of int
+        Highest revision of each kind of object, to notice what is missing.
+    leaving : bool
+        Whether the agent itself is about to stop.
+    """
+
+    accepting: bool
+    busy: float
+    running: int
+    slots: int
+    flows: int
+    newest: list[int]
+    leaving: bool = False
+
+
+class Forward(msgspec.Struct, array_like=True, tag=1):
+    """A caller's packet on its way to the agent that owns its flow.
+
+    Attributes
+    ----------
+    origin : str
+        IP address of the balancer that took it from the caller.
+    data_centre : str
+        Data centre where the flow entered; it decides the order of agents.
+    version : int
+        Version of the route table that the sender used.
+    service : str
+        Service that the table gives.
+    visited : list of str
+        IP addresses of agents that do not have the flow or did not admit it.
+    report : bool
+        Whether the balancer wants to hear who owns the flow.
+    data : bytes
+        The packet.
+    """
+
+    origin: str
+    data_centre: str
+    version: int
+    service: str
+    visited: list[str]
+    report: bool
+    data: bytes
+
+
+class Owned(msgspec.Struct, array_like=True, tag=2):
+    """Tell a balancer that the sender owns a flow."""
+
+    flow: bytes
+    load: LoadReport
+
+
+class Registered(msgspec.Struct, array_like=True, tag=3):
+    """Tell the first agent in the order of some flows that the sender owns them."""
+
+    flows: list[bytes]
+
+
+class Load(msgspec.Struct, array_like=True, tag=4):
+    """Tell siblings and balancers the load of the sender's backend server."""
+
+    load: LoadReport
+
+
+class Ended(msgspec.Struct, array_like=True, tag=5):
+    """Tell a balancer that a flow is over, or that no agent has it."""
+
+    flow: bytes
+    load: LoadReport
+
+
+class Probe(msgspec.Struct, array_like=True, tag=6):
+    """Ask an agent for its load."""
+
+    newest: list[int]
+
+
+PeerFrame = Forward | Owned | Registered | Load | Ended | Probe
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(PeerFrame)
+
+
+def encode_frame(frame: PeerFrame) -> bytes:
+    """Return the datagram of a frame."""
+    return _encoder.encode(frame)
+
+
+def decode_frame(data: bytes) -> PeerFrame:
+    """Return the frame in a datagram or raise `PacketError`."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise PacketError(f"unreadable frame: {error}") from error
--- /dev/null
+++ b/src/berylturn/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: names, formats and calls; nothing here decides."""
--- /dev/null
+++ b/src/berylturn/platform/start.py
@@ -0,0 +1,72 @@
+"""Start a daemon on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from collections.abc import Callable
+
+import uvloop
+
+from ..errors import BerylturnError, SettingsError
+from ..process.clock import SystemClock
+from ..process.logs import LogWriter
+from ..process.passthrough_node import PassthroughNode
+from ..process.settings import (
+    PassthroughAgentSettings,
+    PassthroughBalancerSettings,
+    parse_address,
+    read_settings,
+)
+from . import packets
+from .calls import refuse_heartbeats, serve_heartbeats, serve_readiness
+from .documents import decode_configuration
+from .objects import ObjectClient
+
+SETTINGS_VARIABLE = "BERYLTURN_SETTINGS"
+
+
+async def run_balancer(path: str) -> None:
+    """Run a balancer until SIGTERM."""
+    from ..process.passthrough_balancer import PassthroughBalancer
+
+    daemon = PassthroughBalancer(_make_node(path, PassthroughBalancerSettings))
+    await daemon.run(refuse_heartbeats, serve_readiness(daemon.is_ready))
+
+
+async def run_agent(path: str) -> None:
+    """Run an agent until SIGTERM."""
+    from ..process.passthrough_agent import PassthroughAgentDaemon
+
+    daemon = PassthroughAgentDaemon(_make_node(path, PassthroughAgentSettings))
+    heartbeats = serve_heartbeats(daemon.on_report, daemon.on_leave)
+    await daemon.run(heartbeats, serve_readiness(lambda: True))
+
+
+ROLES: dict[str, Callable] = {"balancer": run_balancer, "agent": run_agent}
+
+
+def main(arguments: list[str]) -> None:
+    """Run the role named on the command line with the platform's settings file."""
+    try:
+        if len(arguments) != 1 or arguments[0] not in ROLES:
+            raise SettingsError(f"name one role: {' or '.join(ROLES)}")
+        path = os.environ.get(SETTINGS_VARIABLE)
+        if not path:
+            raise SettingsError(f"set {SETTINGS_VARIABLE} to the settings file's path")
+        uvloop.run(ROLES[arguments[0]](path))
+    except BerylturnError as error:
+        print(f"berylturn: {error}", file=sys.stderr)
+        sys.exit(1)
+    except asyncio.CancelledError:
+        sys.exit(1)
+
+
+def _make_node(path: str, model: type) -> PassthroughNode:
+    settings = read_settings(path, model)
+    logs = LogWriter(settings.logs.file, settings.logs.level, settings.node.name)
+    store = ObjectClient(parse_address(settings.platform.url.removeprefix("http://")))
+    return PassthroughNode(
+        settings, SystemClock(), logs, packets, store, decode_configuration
+    )
--- a/src/berylturn/process/metrics.py
+++ b/src/berylturn/process/metrics.py
@@ -3,12 +3,41 @@
 from __future__ import annotations
 
 import asyncio
+from bisect import bisect_left
 from collections import Counter
+from typing import TYPE_CHECKING
 
-from statsd import StatsClient
+if TYPE_CHECKING:
+    from statsd import StatsClient
 
 FLUSH_SECONDS = 1.0
 PREFIX = "berylturn"
+# Upper bounds in seconds, from a packet's way within a data centre to a deadline.
+HISTOGRAM_BOUNDS = (
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+)  # fmt: skip
+
+
+class Histogram:
+    """Count durations by upper bound, in the form that the text format wants."""
+
+    def __init__(self) -> None:
+        self._counts = [0] * (len(HISTOGRAM_BOUNDS) + 1)
+        self._sum = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Count one duration."""
+        self._counts[bisect_left(HISTOGRAM_BOUNDS, seconds)] += 1
+        self._sum += seconds
+
+    def render(self, name: str) -> list[str]:
+        """Return the lines of the text format."""
+        lines = [f"# TYPE {name} histogram"]
+        total = 0
+        for bound, count in zip((*HISTOGRAM_BOUNDS, "+Inf"), self._counts, strict=True):
+            total += count
+            lines.append(f'{name}_bucket{{le="{bound}"}} {total}')
+        return [*lines, f"{name}_sum {self._sum:.6f}", f"{name}_count {total}"]
 
 
 class Metrics:
@@ -23,13 +52,16 @@
     """
 
     def __init__(self, address: tuple[str, int] | None, node: str) -> None:
-        self._client = None
+        self._client: StatsClient | None = None
         if address is not None:
+            from statsd import StatsClient  # only where a server is set
+
             self._client = StatsClient(*address, prefix=f"{PREFIX}.{node}")
         self._counters: Counter[str] = Counter()
         self._totals: Counter[str] = Counter()
         self._gauges: dict[str, float] = {}
         self._timers: list[tuple[str, float]] = []
+        self._histograms: dict[str, Histogram] = {}
 
     @property
     def totals(self) -> dict[str, int]:
@@ -46,9 +78,29 @@
 
     def time(self, name: str, seconds: float) -> None:
         """Record one duration."""
+        if name not in self._histograms:
+            self._histograms[name] = Histogram()
+        self._histograms[name].add(seconds)
         if self._client is not None:
             self._timers.append((name, seconds))
 
+    def render(self) -> str:
+        """Return all values in the text format that metric collectors read.
+
+        It is written here since loading a client library for it stops a daemon on
+        a tenth of a core for most of a second.
+        """
+        lines: list[str] = []
+        for name, value in sorted(self.totals.items()):
+            metric = _metric_name(name) + "_total"
+            lines += [f"# TYPE {metric} counter", f"{metric} {value}"]
+        for name, gauge in sorted(self._gauges.items()):
+            metric = _metric_name(name)
+            lines += [f"# TYPE {metric} gauge", f"{metric} {gauge:g}"]
+        for name, histogram in sorted(self._histograms.items()):
+            lines += histogram.render(_metric_name(name) + "_seconds")
+        return "\n".join(lines) + "\n"
+
     def flush(self) -> None:
         """Send what has been collected."""
         counters, self._counters = self._counters, Counter()
@@ -69,3 +121,7 @@
         while True:
             await asyncio.sleep(FLUSH_SECONDS)
             self.flush()
+
+
+def _metric_name(name: str) -> str:
+    return PREFIX + "_" + name.replace(".", "_").replace("-", "_")
--- /dev/null
+++ b/src/berylturn/process/object_view.py
@@ -0,0 +1,261 @@
+"""Keep copies of the platform's objects up to date, from the platform or from peers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from enum import StrEnum
+from typing import Protocol
+
+import msgspec
+
+from ..errors import PlatformError, PlatformUnavailable, WatchExpired
+from ..version.snapshots import KindSnapshot, ObjectChange, StoredObject
+from .clock import Clock
+from .http_client import HttpConnection
+from .logs import log_event, log_warning
+from .tasks import TaskGroup
+
+# Pause after a failed call, doubled up to the longest; spread over the fleet.
+FIRST_PAUSE_SECONDS = 0.1
+LONGEST_PAUSE_SECONDS = 1.0
+# While the platform turns this node away, a peer is asked this often.
+PEER_PERIOD_SECONDS = 0.5
+PULL_TIMEOUT_SECONDS = 1.0
+# Pulls that frames of peers may cause.
+PULL_GAP_SECONDS = 0.3
+VIEW_PATH = "/view"
+
+
+class Kind(StrEnum):
+    """Kinds of objects that nodes hold copies of, in the order of their revisions."""
+
+    CONFIGURATION = "configuration"
+    EVACUATIONS = "evacuations"
+    AGENTS = "agents"
+
+
+KINDS = tuple(Kind)
+
+
+class ObjectStore(Protocol):
+    """The platform's object API, in the product's words."""
+
+    async def list_objects(self, kind: Kind) -> tuple[int, list[StoredObject]]:
+        """Return all objects of a kind and the revision they are complete at."""
+
+    async def watch_objects(
+        self, kind: Kind, revision: int
+    ) -> tuple[int, list[ObjectChange]]:
+        """Wait for changes after a revision; raise `WatchExpired` if too old."""
+
+    async def put_object(self, kind: Kind, name: str, body: bytes) -> None:
+        """Create or replace an object."""
+
+    async def remove_object(self, kind: Kind, name: str, revision: int | None) -> None:
+        """Remove an object, if given only at that revision of it."""
+
+
+class _SharedKind(msgspec.Struct, array_like=True):
+    at_revision: int
+    newest: int
+    objects: list[tuple[str, int, bytes]]
+
+
+_share_encoder = msgspec.msgpack.Encoder()
+_share_decoder = msgspec.msgpack.Decoder(dict[Kind, _SharedKind])
+
+
+class ObjectView:
+    """Hold one snapshot a kind; each moves forward only.
+
+    Parameters
+    ----------
+    on_change : callable
+        Called with the kind after its objects changed or became known.
+    """
+
+    def __init__(self, on_change: Callable[[Kind], None]) -> None:
+        self._on_change = on_change
+        self.snapshots = {kind: KindSnapshot() for kind in KINDS}
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether each kind has been read at least once."""
+        return all(snapshot.known for snapshot in self.snapshots.values())
+
+    @property
+    def newest(self) -> list[int]:
+        """Return the newest known revision of each kind."""
+        return [self.snapshots[kind].newest for kind in KINDS]
+
+    def replace(
+        self,
+        kind: Kind,
+        at_revision: int,
+        objects: Iterable[StoredObject],
+        newest: int = 0,
+    ) -> None:
+        """Take a complete snapshot of a kind."""
+        if self.snapshots[kind].replace(at_revision, objects, newest):
+            self._on_change(kind)
+
+    def apply(self, kind: Kind, at_revision: int, changes: list[ObjectChange]) -> None:
+        """Apply what a watch reported."""
+        if self.snapshots[kind].apply(at_revision, changes):
+            self._on_change(kind)
+
+    def export(self) -> bytes:
+        """Return all that is known, for a peer."""
+        shared = {
+            kind: _SharedKind(
+                held.at_revision,
+                held.newest,
+                [(o.name, o.revision, o.body) for o in held.objects.values()],
+            )
+            for kind, held in self.snapshots.items()
+            if held.known
+        }
+        return _share_encoder.encode(shared)
+
+    def merge(self, data: bytes) -> None:
+        """Take what a peer exported; raises `msgspec.DecodeError`."""
+        for kind, shared in _share_decoder.decode(data).items():
+            objects = [StoredObject(*item) for item in shared.objects]
+            self.replace(kind, shared.at_revision, objects, shared.newest)
+
+    def lacks(self, newest: list[int]) -> bool:
+        """Tell whether a peer knows of a change that is missing here."""
+        return any(a > b for a, b in zip(newest, self.newest, strict=False))
+
+
+class ViewSync:
+    """Follow the platform, and peers while the platform turns this node away.
+
+    Parameters
+    ----------
+    view : ObjectView
+        Kept up to date.
+    store : ObjectStore
+        The platform.
+    tasks : TaskGroup
+        Owner of the tasks.
+    clock : Clock
+        Source of time.
+    peer_port : int
+        Port at which peers share their view.
+    list_peers : callable
+        Returns IP addresses of nodes that may know more, the likeliest first.
+    """
+
+    def __init__(
+        self,
+        view: ObjectView,
+        store: ObjectStore,
+        tasks: TaskGroup,
+        clock: Clock,
+        peer_port: int,
+        list_peers: Callable[[], list[str]],
+    ) -> None:
+        self._view = view
+        self._store = store
+        self._tasks = tasks
+        self._clock = clock
+        self._peer_port = peer_port
+        self._list_peers = list_peers
+        self._following: set[Kind] = set()
+        self._pulled_at = float("-inf")
+        self._pulling = False
+
+    @property
+    def connected(self) -> bool:
+        """Tell whether the platform serves all watches of this node."""
+        return len(self._following) == len(KINDS)
+
+    def start(self) -> None:
+        """Start following."""
+        for kind in KINDS:
+            self._tasks.start(self._follow(kind), f"follow_{kind}")
+        self._tasks.start(self._ask_peers(), "ask_peers")
+
+    def note_peer(self, host: str, newest: list[int]) -> None:
+        """Pull from a peer that knows of a change which is missing here."""
+        if self._view.lacks(newest):
+            self.pull_from(host)
+
+    def pull_from(self, host: str) -> None:
+        """Pull from a peer that has shown a newer configuration."""
+        now = self._clock.monotonic()
+        if not self._pulling and now - self._pulled_at >= PULL_GAP_SECONDS:
+            self._tasks.spawn(self._pull(host))
+
+    async def _follow(self, kind: Kind) -> None:
+        pause = FIRST_PAUSE_SECONDS
+        lost_at: float | None = None
+        listed = False
+        while True:
+            try:
+                if not listed:
+                    revision, objects = await self._store.list_objects(kind)
+                    self._view.replace(kind, revision, objects)
+                    listed = True
+                    self._following.add(kind)
+                    if lost_at is not None:
+                        self._log_regained(kind, lost_at)
+                        lost_at = None
+                position = self._view.snapshots[kind].at_revision
+                revision, changes = await self._store.watch_objects(kind, position)
+                self._view.apply(kind, revision, changes)
+                pause = FIRST_PAUSE_SECONDS
+            except WatchExpired:
+                log_event("watch_expired", kind=kind, revision=position)
+                listed = False
+            except PlatformError as error:
+                if lost_at is None:
+                    lost_at = self._clock.monotonic()
+                    self._following.discard(kind)
+                    log_warning("platform_lost", kind=kind, error=str(error))
+                listed = False
+                await asyncio.sleep(pause * random.uniform(0.5, 1.0))
+                pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+
+    def _log_regained(self, kind: Kind, lost_at: float) -> None:
+        away = self._clock.monotonic() - lost_at
+        snapshot = self._view.snapshots[kind]
+        log_event(
+            "platform_regained",
+            kind=kind,
+            away_seconds=round(away, 3),
+            revision=snapshot.at_revision,
+            objects=len(snapshot.objects),
+        )
+
+    async def _ask_peers(self) -> None:
+        turn = 0
+        while True:
+            if not self.connected:
+                peers = self._list_peers()
+                if peers:
+                    await self._pull(peers[turn % len(peers)])
+                    turn += 1
+            await asyncio.sleep(PEER_PERIOD_SECONDS)
+
+    async def _pull(self, host: str) -> None:
+        self._pulling = True
+        connection = HttpConnection((host, self._peer_port))
+        before = self._view.newest
+        try:
+            answer = await connection.request(
+                "GET", VIEW_PATH, seconds=PULL_TIMEOUT_SECONDS
+            )
+            if answer.status == 200:
+                self._view.merge(answer.body)
+                if self._view.newest != before:
+                    log_event("view_pulled", peer=host, newest=self._view.newest)
+        except (PlatformUnavailable, msgspec.DecodeError) as error:
+            log_event("peer_not_reached", peer=host, error=str(error))
+        finally:
+            connection.close()
+            self._pulling = False
+            self._pulled_at = self._clock.monotonic()
--- /dev/null
+++ b/src/berylturn/process/passthrough_node.py
@@ -0,0 +1,234 @@
+"""What a balancer and an agent for passthrough flows have in common."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Callable
+
+from ..connection.passthrough import PassthroughEffect, ToCaller, ToPeer
+from ..connection.peer_frames import PeerFrame, decode_frame, encode_frame
+from ..connection.segments import SegmentCodec, describe_flow
+from ..errors import PacketError, PlatformError
+from ..version.routes import RouteTable
+from .clock import Clock
+from .http_server import Handler, HttpReply, HttpRequest, serve_http
+from .logs import BoundedLog, LogWriter, log_event, log_warning
+from .metrics import Metrics
+from .object_view import VIEW_PATH, Kind, ObjectStore, ObjectView, ViewSync
+from .settings import PassthroughAgentSettings, PassthroughBalancerSettings
+from .sockets import Address, open_udp
+from .tasks import TaskGroup
+
+METRICS_PATH = "/metrics"
+CONFIGURATION_NAME = "main"
+SECOND = 1.0
+
+TableDecoder = Callable[[bytes], tuple[RouteTable, list[str]]]
+
+
+class PassthroughNode:
+    """Own the sockets, the view and the logs of one daemon.
+
+    Parameters
+    ----------
+    settings : PassthroughBalancerSettings or PassthroughAgentSettings
+        Validated settings.
+    clock : Clock
+        Source of time.
+    logs : LogWriter
+        Writes the lines.
+    codec : SegmentCodec
+        Translates packets.
+    store : ObjectStore
+        The platform.
+    decode_table : callable
+        Reads a configuration.
+    """
+
+    def __init__(
+        self,
+        settings: PassthroughBalancerSettings | PassthroughAgentSettings,
+        clock: Clock,
+        logs: LogWriter,
+        codec: SegmentCodec,
+        store: ObjectStore,
+        decode_table: TableDecoder,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.codec = codec
+        self.store = store
+        self.logs = logs
+        self.metrics = Metrics(settings.metrics.statsd, settings.node.name)
+        self.lines = BoundedLog()
+        self.tasks = TaskGroup()
+        self.view = ObjectView(self._on_view)
+        self.table = RouteTable()
+        self.out: frozenset[str] = frozenset()
+        self._decode_table = decode_table
+        self._on_change: Callable[[Kind], None] = lambda kind: None
+        self._packets: asyncio.DatagramTransport | None = None
+        self._peers: asyncio.DatagramTransport | None = None
+        self.sync = ViewSync(
+            self.view,
+            store,
+            self.tasks,
+            clock,
+            settings.passthrough.peer_port,
+            self._list_peers,
+        )
+        self.known_peers: Callable[[], list[str]] = list
+
+    @property
+    def host(self) -> str:
+        """Return the IP address of this node."""
+        return self.settings.passthrough.host
+
+    def now(self) -> float:
+        """Return seconds on the monotonic clock."""
+        return self.clock.monotonic()
+
+    def decide(self, event: str, flow: bytes, **fields: object) -> None:
+        """Log and count a decision about a flow."""
+        self.metrics.count(
+            f"{event}.{fields['reason']}" if "reason" in fields else event
+        )
+        rounded = {
+            name: round(value, 4) if type(value) is float else value
+            for name, value in fields.items()
+        }
+        self.lines.write(event, flow=describe_flow(flow), **rounded)
+
+    async def open(
+        self,
+        on_caller: Callable[[bytes, Address], None],
+        on_frame: Callable[[str, PeerFrame], None],
+        on_change: Callable[[Kind], None],
+        heartbeats: Handler,
+        readiness: Handler,
+    ) -> None:
+        """Open the sockets that both kinds of daemon have, and start to follow."""
+        section = self.settings.passthrough
+        self._on_change = on_change
+        self._packets = await open_udp(section.packets, on_caller)
+        self._peers = await open_udp(
+            (section.host, section.peer_port), self._make_frame_receiver(on_frame)
+        )
+        await serve_http(section.ready, readiness)
+        await serve_http(section.heartbeats, heartbeats)
+        await serve_http((section.host, section.peer_port), self._serve_peer)
+        if self.settings.metrics.listen is not None:
+            await serve_http(self.settings.metrics.listen, self._serve_metrics)
+        self.tasks.start(self.logs.run(), "logs")
+        self.tasks.start(self._each_second(), "seconds")
+        if self.settings.metrics.statsd is not None:
+            self.tasks.start(self.metrics.run(), "metrics")
+        self.tasks.stop_on_signals()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+        self.sync.start()
+        log_event(
+            "started", host=section.host, data_centre=self.settings.node.data_centre
+        )
+
+    def carry_out(self, effects: list[PassthroughEffect]) -> None:
+        """Send what the rules want sent to callers and nodes."""
+        for effect in effects:
+            if type(effect) is ToPeer:
+                self.send(effect.host, effect.frame)
+            elif type(effect) is ToCaller:
+                port = self.settings.passthrough.packets[1]
+                self._packets.sendto(effect.data, (effect.host, port))
+
+    def send(self, host: str, frame: PeerFrame) -> None:
+        """Send a frame to another node."""
+        self._peers.sendto(
+            encode_frame(frame), (host, self.settings.passthrough.peer_port)
+        )
+
+    def drop(self, reason: str, error: Exception) -> None:
+        """Count and log a datagram that cannot be read."""
+        self.metrics.count(f"dropped.{reason}")
+        self.lines.write("packet_dropped", reason=reason, error=str(error))
+
+    async def close(self) -> None:
+        """Stop all tasks and write the last lines."""
+        log_event("stopped")
+        await self.tasks.cancel_all()
+        self.logs.flush()
+        if self.tasks.failure is not None:
+            raise self.tasks.failure
+
+    def _make_frame_receiver(
+        self, on_frame: Callable[[str, PeerFrame], None]
+    ) -> Callable[[bytes, Address], None]:
+        def receive(data: bytes, address: Address) -> None:
+            try:
+                frame = decode_frame(data)
+            except PacketError as error:
+                self.drop("frame", error)
+                return
+            on_frame(address[0], frame)
+
+        return receive
+
+    def _on_view(self, kind: Kind) -> None:
+        if kind is Kind.CONFIGURATION:
+            self._take_configuration()
+        elif kind is Kind.EVACUATIONS:
+            out = frozenset(self.view.snapshots[kind].objects)
+            log_event(
+                "data_centres_out",
+                out=sorted(out),
+                revision=self.view.snapshots[kind].newest,
+            )
+            self.out = out
+        self._on_change(kind)
+
+    def _take_configuration(self) -> None:
+        item = self.view.snapshots[Kind.CONFIGURATION].objects.get(CONFIGURATION_NAME)
+        if item is None:
+            return
+        try:
+            table, problems = self._decode_table(item.body)
+        except PlatformError as error:
+            log_warning(
+                "configuration_refused", error=str(error), kept=self.table.version
+            )
+            return
+        if table.version <= self.table.version:
+            return
+        log_event(
+            "configuration_in_force",
+            version=table.version,
+            before=self.table.version,
+            revision=item.revision,
+            routes=len(table.routes),
+            problems=problems[:5],
+        )
+        self.table = table
+
+    def _list_peers(self) -> list[str]:
+        seeds = [host for host, _ in self.settings.passthrough.seeds]
+        peers = dict.fromkeys([*seeds, *self.known_peers()])
+        return [host for host in peers if host != self.host]
+
+    def _serve_peer(self, request: HttpRequest) -> HttpReply:
+        if request.path != VIEW_PATH:
+            return HttpReply(404)
+        return HttpReply(200, self.view.export(), "application/msgpack")
+
+    def _serve_metrics(self, request: HttpRequest) -> HttpReply:
+        if request.path != METRICS_PATH:
+            return HttpReply(404)
+        return HttpReply(200, self.metrics.render().encode(), "text/plain")
+
+    async def _each_second(self) -> None:
+        while True:
+            await asyncio.sleep(SECOND)
+            self.lines.start_second()
+
+    def _on_hangup(self) -> None:
+        # Addresses are those of the host; a change of them comes with a restart.
+        log_event("reloaded", changed=[])
--- a/src/berylturn/process/settings.py
+++ b/src/berylturn/process/settings.py
@@ -70,6 +70,9 @@
     statsd: Annotated[Address | None, Meta(description="IP:PORT; off without it")] = (
         None
     )
+    listen: Annotated[
+        Address | None, Meta(description="IP:PORT of the text page; off without it")
+    ] = None
 
 
 class PeersSection(_Section):
@@ -158,6 +161,42 @@
     ] = timedelta(seconds=60)
 
 
+class PassthroughSection(_Section):
+    """Sockets and bounds of a daemon that carries flows without a token."""
+
+    host: Annotated[str, Meta(description="IP address of this host")]
+    packets: Annotated[
+        Address, Meta(description="IP:PORT for callers' packets, the port also theirs")
+    ]
+    ready: Annotated[Address, Meta(description="IP:PORT of the routers' probes")]
+    heartbeats: Annotated[Address, Meta(description="IP:PORT for heartbeats")]
+    peer_port: Annotated[
+        int,
+        Meta(ge=1, le=65_535, description="port for other daemons, the same on all"),
+    ]
+    seeds: Annotated[
+        list[Address], Meta(description="IP:PORT of some hosts that may know a view")
+    ] = msgspec.field(default_factory=list)
+    grace: Annotated[timedelta, Meta(description="time to stop after SIGTERM")] = (
+        timedelta(seconds=6)
+    )
+
+
+class OpaqueBackendSection(_Section):
+    """The backend server beside a passthrough agent."""
+
+    address: Annotated[Address, Meta(description="IP:PORT where it takes packets")]
+    outbound: Annotated[Address, Meta(description="IP:PORT where its packets arrive")]
+    heartbeat: Annotated[timedelta, Meta(description="time between heartbeats")]
+    cold_factor: Annotated[
+        float, Meta(ge=0, description="openings a second when cold: rate times this")
+    ]
+    cold_slack: Annotated[float, Meta(ge=0, description="and plus this")]
+    longest_flow: Annotated[
+        timedelta, Meta(description="an older flow may be forgotten")
+    ] = timedelta(seconds=60)
+
+
 class BalancerSettings(_Section):
     """All settings of a balancer."""
 
@@ -186,6 +225,27 @@
     metrics: MetricsSection = MetricsSection()
 
 
+class PassthroughBalancerSettings(_Section):
+    """All settings of a balancer for flows without a token."""
+
+    node: NodeSection
+    passthrough: PassthroughSection
+    platform: PlatformSection
+    logs: LogsSection = LogsSection()
+    metrics: MetricsSection = MetricsSection()
+
+
+class PassthroughAgentSettings(_Section):
+    """All settings of an agent for flows without a token."""
+
+    node: NodeSection
+    passthrough: PassthroughSection
+    opaque_backend: OpaqueBackendSection
+    platform: PlatformSection
+    logs: LogsSection = LogsSection()
+    metrics: MetricsSection = MetricsSection()
+
+
 def read_settings(path: str, model: type[Any]) -> Any:
     """Return the validated settings in an INI file or raise `SettingsError`."""
     sections = read_sections(path)
@@ -210,6 +270,10 @@
 
 def guess_model(sections: dict[str, dict[str, str]]) -> type[Any]:
     """Return the model that fits the sections of a file."""
+    if "opaque_backend" in sections:
+        return PassthroughAgentSettings
+    if "passthrough" in sections:
+        return PassthroughBalancerSettings
     return AgentSettings if "backend" in sections else BalancerSettings
 
 
--- /dev/null
+++ b/src/berylturn/version/routes.py
@@ -0,0 +1,74 @@
+"""Routes in force: which service new flows to an address belong to."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+SHARE_HASH_BYTES = 4
+SHARE_HASH_RANGE = 1 << (8 * SHARE_HASH_BYTES)
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """One service of a route and the weight of new flows that it gets."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """What one address of the platform leads to."""
+
+    name: str
+    shares: tuple[ServiceShare, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceLimits:
+    """What the backend servers of a service bear.
+
+    Attributes
+    ----------
+    connections : int
+        Flows that one backend server may hold.
+    cold_seconds : float
+        Length of a cold start.
+    cold_rate : float
+        Openings a second that a server in cold start bears.
+    """
+
+    connections: int = 2000
+    cold_seconds: float = 2.0
+    cold_rate: float = 0.0
+
+
+@dataclass(frozen=True)
+class RouteTable:
+    """One version of the routes; routes are keyed by packed address and port."""
+
+    version: int = 0
+    routes: dict[bytes, Route] = field(default_factory=dict)
+    services: dict[str, ServiceLimits] = field(default_factory=dict)
+    idle_seconds: float = 15.0
+
+    def service_of(self, flow: bytes) -> str | None:
+        """Return the service of a flow, the same one on each node, or None."""
+        route = self.routes.get(flow[6:])
+        if route is None or not route.shares:
+            return None
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        return _pick_share(route.shares, flow)
+
+
+def _pick_share(shares: tuple[ServiceShare, ...], flow: bytes) -> str:
+    total = sum(share.weight for share in shares)
+    digest = blake2b(flow, digest_size=SHARE_HASH_BYTES).digest()
+    position = int.from_bytes(digest, "big") / SHARE_HASH_RANGE * total
+    for share in shares:
+        position -= share.weight
+        if position < 0:
+            return share.service
+    return shares[-1].service
