Find open flows whose route has moved to another service

Ruled out: lost registrations, the stopped balancer. Agents now register flows anew when the table changes, former services of an address stay in the order, and a server is offered a flow only if its service is possible.

--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -165,6 +165,7 @@
     def set_table(self, table: RouteTable) -> None:
         """Put a newer version of the routes in force."""
         self._table = table
+        self._register_all()
 
     def set_agents(
         self, agents: dict[str, list[AgentEntry]], out: frozenset[str]
@@ -172,9 +173,7 @@
         """Take the agents by service, and the data centres that are out."""
         self._agents = agents
         self._out = out
-        for key, flow in self._flows.items():
-            if flow.state is FlowState.OPEN:
-                self._register(key, flow)
+        self._register_all()
 
     def load_report(self, now: float) -> LoadReport:
         """Return what siblings and balancers are told."""
@@ -454,21 +453,30 @@
                 return [ToPeer(host, replace_frame(frame, visited=visited))]
         if self._host in frame.visited:
             return []
-        if self._gate.report is None and self._gate.has_left:
+        if self._gate.has_left or not self._may_hold(segment):
             return self._ask_next(frame, segment, now)
         self._asking[segment.flow] = frame
         tag = self._offer(frame, segment, now)
         return [ToBackend(self._codec.write_tag(segment.data, tag))]
 
+    def _may_hold(self, segment: Segment) -> bool:
+        """Tell whether the flow may be of the backend server's service."""
+        report = self._gate.report
+        possible = self._table.possible_services(segment.flow)
+        return report is None or not possible or report.service in possible
+
     def _ask_next(
         self, frame: Forward, segment: Segment, now: float
     ) -> list[PassthroughEffect]:
         visited = [*frame.visited, self._host]
-        service = self._service_of(frame, segment)
-        ranked = rank_agents(
-            segment.flow, frame.data_centre, self._agents.get(service or "", ())
-        )
-        left = [agent for agent in ranked if agent.host not in visited]
+        left = [
+            agent
+            for service in self._table.possible_services(segment.flow)
+            for agent in rank_agents(
+                segment.flow, frame.data_centre, self._agents.get(service, ())
+            )
+            if agent.host not in visited
+        ]
         left.sort(key=lambda agent: self._board.is_suspect(agent.host, now))
         if not left:
             self._decide("flow_not_found", segment.flow, hops=len(visited))
@@ -520,6 +528,11 @@
         reset = self._codec.build_reset(key, newest.acknowledged)
         return [ToCaller(caller_host(key), reset)]
 
+    def _register_all(self) -> None:
+        for key, flow in self._flows.items():
+            if flow.state is FlowState.OPEN:
+                self._register(key, flow)
+
     def _register(self, key: bytes, flow: PassthroughFlow, again: bool = False) -> None:
         service = self._table.service_of(key)
         if service is None or not flow.data_centre:
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -207,7 +207,7 @@
             routes=len(table.routes),
             problems=problems[:5],
         )
-        self.table = table
+        self.table = table.after(self.table)
 
     def _list_peers(self) -> list[str]:
         seeds = [host for host, _ in self.settings.passthrough.seeds]
--- a/src/berylturn/version/routes.py
+++ b/src/berylturn/version/routes.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 
 SHARE_HASH_BYTES = 4
 SHARE_HASH_RANGE = 1 << (8 * SHARE_HASH_BYTES)
+# Services that one address led to before; open flows may still belong to them.
+MAX_FORMER = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,12 +48,37 @@
 
 @dataclass(frozen=True)
 class RouteTable:
-    """One version of the routes; routes are keyed by packed address and port."""
+    """One version of the routes; routes are keyed by packed address and port.
+
+    Attributes
+    ----------
+    former : dict of bytes to tuple of str
+        Services that an address led to in earlier versions, the latest first.
+    """
 
     version: int = 0
     routes: dict[bytes, Route] = field(default_factory=dict)
     services: dict[str, ServiceLimits] = field(default_factory=dict)
     idle_seconds: float = 15.0
+    former: dict[bytes, tuple[str, ...]] = field(default_factory=dict)
+
+    def after(self, previous: RouteTable) -> RouteTable:
+        """Return this table with what the previous one says of open flows."""
+        former = dict(previous.former)
+        for address, route in previous.routes.items():
+            if self.routes.get(address) != route:
+                names = [share.service for share in route.shares]
+                kept = dict.fromkeys([*names, *former.get(address, ())])
+                former[address] = tuple(kept)[:MAX_FORMER]
+        return replace(self, former=former)
+
+    def possible_services(self, flow: bytes) -> list[str]:
+        """Return the services that an open flow may belong to, the likeliest first."""
+        current = self.service_of(flow)
+        route = self.routes.get(flow[6:])
+        shares = [share.service for share in route.shares] if route else []
+        names = [*([current] if current else []), *shares]
+        return list(dict.fromkeys([*names, *self.former.get(flow[6:], ())]))
 
     def service_of(self, flow: bytes) -> str | None:
         """Return the service of a flow, the same one on each node, or None."""
--- /dev/null
+++ b/tests/passthrough_mesh.py
@@ -0,0 +1,261 @@
+"""Balancers and agents for passthrough flows in one process, in virtual time.
+
+The backend servers here do what the platform's do with packets: they answer openings,
+hand back packets of flows that they do not hold, and forget all at a restart.
+"""
+
+from __future__ import annotations
+
+import itertools
+import struct
+from dataclasses import dataclass, field
+
+from berylturn.connection.load_board import LoadBoard
+from berylturn.connection.opening_gate import BackendReport, GateBounds, OpeningGate
+from berylturn.connection.passthrough import (
+    PassthroughAgent,
+    ToBackend,
+    ToCaller,
+    ToPeer,
+)
+from berylturn.connection.passthrough_router import Directory, PassthroughRouter
+from berylturn.connection.peer_frames import Forward, Load, Owned, Registered
+from berylturn.platform import packets
+from berylturn.version.owners import AgentEntry
+from berylturn.version.routes import Route, RouteTable, ServiceLimits, ServiceShare
+
+SYN, ACK, FIN, RST, BOUNCED = 64, 16, 1, 8, 128
+HEADER = struct.Struct(">IIHIBH4s4sHI")
+SERVICE = bytes([198, 18, 0, 1]) + (443).to_bytes(2, "big")
+START = 1000.0
+WARM_AT = START - 100.0
+
+
+def caller_packet(
+    flow: bytes, flags: int, seq: int = 1, ack: int = 0, body: bytes = b""
+) -> bytes:
+    """Return a packet from a caller."""
+    return HEADER.pack(
+        seq, ack, len(body), 0, flags, int.from_bytes(flow[10:], "big"),
+        flow[:4], flow[6:10], int.from_bytes(flow[4:6], "big"), 7,
+    ) + body  # fmt: skip
+
+
+def backend_packet(
+    flow: bytes, flags: int, seq: int = 1, ack: int = 0, body: bytes = b""
+) -> bytes:
+    """Return a packet from a backend server."""
+    return HEADER.pack(
+        seq, ack, len(body), 0, flags, int.from_bytes(flow[4:6], "big"),
+        flow[6:10], flow[:4], int.from_bytes(flow[10:], "big"), 7,
+    ) + body  # fmt: skip
+
+
+def flow_key(number: int, service: bytes = SERVICE) -> bytes:
+    """Return the key of one of many flows."""
+    return bytes([100, 64, 0, 9]) + (1024 + number).to_bytes(2, "big") + service
+
+
+def make_table(version: int, **services: float) -> RouteTable:
+    """Return a table whose one route leads to services by weight."""
+    shares = tuple(ServiceShare(name, weight) for name, weight in services.items())
+    limits = {name: ServiceLimits(cold_rate=2.0) for name in ("desk", "room")}
+    return RouteTable(version, {SERVICE: Route("r", shares)}, limits)
+
+
+@dataclass
+class FakeBackend:
+    """A backend server that holds flows, or is dead."""
+
+    first_sequence: int
+    flows: set[bytes] = field(default_factory=set)
+    dead: bool = False
+    full: bool = False
+    got: list[bytes] = field(default_factory=list)
+    openings: int = 0
+
+    def take(self, data: bytes) -> list[bytes]:
+        """Return what it sends for one packet."""
+        segment = packets.decode_from_caller(data)
+        if self.dead:
+            return []
+        self.got.append(segment.flow)
+        if segment.opening:
+            if self.full:
+                return [returned(data)]
+            self.openings += 1
+            self.flows.add(segment.flow)
+            return [backend_packet(segment.flow, SYN | ACK, self.first_sequence)]
+        if segment.flow not in self.flows:
+            return [returned(data)]
+        if segment.size:
+            return [
+                backend_packet(segment.flow, ACK, self.first_sequence + 1, body=b"ok")
+            ]
+        return []
+
+
+def returned(data: bytes) -> bytes:
+    """Return a caller's packet as a backend server hands it back."""
+    return data[:14] + bytes([data[14] | BOUNCED]) + data[15:]
+
+
+class Mesh:
+    """Carry frames between rules until nothing is under way.
+
+    Parameters
+    ----------
+    agents : dict of str to tuple of str and str
+        Data centre and service of each agent, by name.
+    balancers : dict of str to str
+        Data centre of each balancer, by name.
+    """
+
+    def __init__(
+        self, agents: dict[str, tuple[str, str]], balancers: dict[str, str]
+    ) -> None:
+        self.now = START
+        self.decisions: list[tuple[str, dict]] = []
+        self.to_caller: list[tuple[bytes, bytes]] = []
+        self.entries = [
+            AgentEntry(name, name, data_centre, service, 3.0)
+            for name, (data_centre, service) in agents.items()
+        ]
+        self.backends = {
+            name: FakeBackend(1_000_000 * (number + 1))
+            for number, name in enumerate(agents)
+        }
+        self.down: set[str] = set()
+        self.boards: dict[str, LoadBoard] = {}
+        self.gates: dict[str, OpeningGate] = {}
+        self.agents: dict[str, PassthroughAgent] = {}
+        self.routers: dict[str, PassthroughRouter] = {}
+        self.table = make_table(1, desk=1.0)
+        self._sequences = itertools.count(1)
+        for name in agents:
+            self.start_agent(name)
+        for name, data_centre in balancers.items():
+            self.start_balancer(name, data_centre)
+
+    def start_agent(self, name: str, reported: bool = True) -> None:
+        """Start an agent that knows nothing of before."""
+        gate = OpeningGate(GateBounds(1.5, 5.0, 1.2), WARM_AT if reported else self.now)
+        board = self.boards[name] = LoadBoard()
+        self.gates[name] = gate
+        rules = PassthroughAgent(
+            name, gate, board, packets, self._decide, lambda seconds: None
+        )
+        self.agents[name] = rules
+        rules.set_table(self.table)
+        rules.set_agents(self.directory().by_service, frozenset())
+        gate.set_limits(ServiceLimits(cold_rate=2.0), self.now)
+        if reported:
+            self.report(name)
+
+    def start_balancer(self, name: str, data_centre: str) -> None:
+        """Start a balancer that knows nothing of flows."""
+        router = PassthroughRouter(
+            name, data_centre, LoadBoard(), packets, self._decide
+        )
+        router.set_table(self.table)
+        router.set_directory(self.directory(), frozenset())
+        self.routers[name] = router
+
+    def directory(self) -> Directory:
+        """Return the directory that all nodes have."""
+        directory = Directory()
+        for entry in self.entries:
+            directory.by_service.setdefault(entry.service, []).append(entry)
+            directory.by_host[entry.host] = entry
+        return directory
+
+    def report(self, name: str, started_ms: int = 1, **changes: object) -> bool:
+        """Let a backend server report; return whether it restarted."""
+        entry = next(entry for entry in self.entries if entry.name == name)
+        values = {
+            "identifier": f"i-{name}",
+            "started_ms": started_ms,
+            "sequence": next(self._sequences),
+            "service": entry.service,
+            "data_centre": entry.data_centre,
+            "address": name,
+            "slots": 3,
+            "draining": False,
+            "cold_seconds": 0.0,
+        }
+        values.update(changes)
+        restarted = self.gates[name].take_report(BackendReport(**values), self.now)
+        if restarted:
+            self._run(name, self.agents[name].on_restarted())
+        return restarted
+
+    def change_table(self, table: RouteTable) -> None:
+        """Put a table in force on all nodes."""
+        self.table = table = table.after(self.table)
+        for router in self.routers.values():
+            router.set_table(table)
+        for name, rules in self.agents.items():
+            rules.set_table(table)
+            self._run(name, rules.take_news())
+
+    def send(self, balancer: str, data: bytes) -> None:
+        """Hand a caller's packet to a balancer and carry all that follows."""
+        segment = packets.decode_from_caller(data)
+        self._run(balancer, self.routers[balancer].on_caller(segment, self.now))
+
+    def open_flow(self, balancer: str, flow: bytes) -> str:
+        """Open a flow; return the name of the backend server that has it."""
+        seen = len(self.to_caller)
+        self.send(balancer, caller_packet(flow, SYN))
+        for _, data in self.to_caller[seen:]:
+            answer = HEADER.unpack_from(data)
+            if answer[4] & SYN:
+                owner = answer[0] // 1_000_000
+                self.send(balancer, caller_packet(flow, ACK, ack=answer[0] + 1))
+                return list(self.backends)[owner - 1]
+        return ""
+
+    def ask(self, balancer: str, flow: bytes, owner: str) -> bool:
+        """Send a request on a flow; return whether an answer came."""
+        ack = self.backends[owner].first_sequence + 1
+        seen = len(self.to_caller)
+        self.send(balancer, caller_packet(flow, ACK, ack=ack, body=b"GET"))
+        return any(data.endswith(b"ok") for _, data in self.to_caller[seen:])
+
+    def events(self, name: str) -> list[dict]:
+        """Return the fields of all decisions of one kind."""
+        return [fields for event, fields in self.decisions if event == name]
+
+    def _decide(self, event: str, flow: bytes, **fields: object) -> None:
+        self.decisions.append((event, {"flow": flow, **fields}))
+
+    def _run(self, name: str, effects: list) -> None:
+        queue = [(name, effect) for effect in effects]
+        while queue:
+            sender, effect = queue.pop(0)
+            if type(effect) is ToCaller:
+                self.to_caller.append((sender.encode(), effect.data))
+            elif type(effect) is ToBackend:
+                for data in self.backends[sender].take(effect.data):
+                    segment = packets.decode_from_backend(data)
+                    found = self.agents[sender].on_backend(segment, self.now)
+                    queue += [(sender, item) for item in found]
+                    queue += [(sender, x) for x in self.agents[sender].take_news()]
+            elif type(effect) is ToPeer and effect.host not in self.down:
+                found = self._deliver(sender, effect)
+                queue += [(effect.host, item) for item in found]
+
+    def _deliver(self, sender: str, effect: ToPeer) -> list:
+        frame = effect.frame
+        if effect.host in self.routers:
+            if isinstance(frame, Owned | Load):
+                self.routers[effect.host].on_frame(sender, frame, self.now)
+            return []
+        rules = self.agents[effect.host]
+        if type(frame) is Registered:
+            rules.on_registered(sender, frame.flows, self.now)
+        elif type(frame) is Forward:
+            segment = packets.decode_from_caller(frame.data)
+            found = rules.on_forward(frame, segment, self.now)
+            return [*found, *rules.take_news()]
+        return []
