--- a/src/berylturn/connection/opening_gate.py
+++ b/src/berylturn/connection/opening_gate.py
@@ -15,9 +15,11 @@
 from .gate import AdmissionGate, Limits
 
 # A second, as the platform's cold limit counts, and the spread of delivery.
-COLD_WINDOW_SECONDS = 1.1
+COLD_WINDOW_SECONDS = 1.05
 # A backend server reports about once in its heartbeat interval; two may be lost.
 REPORTS_MISSED = 2.5
+# The first report after a start comes within one interval and some delay.
+REPORT_DUE = 1.3
 # Silence of the newer incarnation after which an older start time is believed: a
 # server whose clock was set back starts with one.
 SUPERSEDED_SECONDS = 2.5
@@ -204,6 +206,30 @@
             return "cold"
         return None
 
+    def expected_wait(self, reason: str, ahead: int, now: float) -> float | None:
+        """Return the seconds until a refused opening has room, None if unknown.
+
+        Parameters
+        ----------
+        reason : str
+            What `refusal` returned.
+        ahead : int
+            Openings that wait already.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        if reason == "no_report" and not self._gone:
+            due = self._started + REPORT_DUE * self._bounds.report_seconds - now
+            # It may come at any moment until it is due.
+            return due / 2 if due > 0 else None
+        if reason == "cold":
+            left = self._cold_until - now
+            allowed = self._cold_allowed()
+            if allowed < 1:
+                return left
+            return min(left, (ahead + 1) / allowed * COLD_WINDOW_SECONDS)
+        return None
+
     def admit(self, flow: bytes, now: float) -> None:
         """Count an opening that `refusal` lets pass."""
         self._flows.add_flow()
@@ -247,9 +273,11 @@
         if not self._saw_start and now - self._started < COLD_WINDOW_SECONDS:
             return False
         self._forget_old_openings(now)
+        return len(self._cold_openings) < self._cold_allowed()
+
+    def _cold_allowed(self) -> int:
         bounds = self._bounds
-        allowed = self._limits.cold_rate * bounds.cold_factor + bounds.cold_slack
-        return len(self._cold_openings) < int(allowed)
+        return int(self._limits.cold_rate * bounds.cold_factor + bounds.cold_slack)
 
     def _note_opening(self, now: float) -> None:
         self._forget_old_openings(now)
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -15,8 +15,9 @@
 from ..version.routes import RouteTable
 from .load_board import LoadBoard, choose_for_opening
 from .opening_gate import OpeningGate
-from .peer_frames import Forward, LoadReport, Owned, PeerFrame, Registered
+from .peer_frames import Forward, Load, LoadReport, Owned, PeerFrame, Registered
 from .segments import Segment, SegmentCodec, caller_host
+from .waiting import LONGEST_WAIT_SECONDS, WaitingOpening, WaitingOpenings
 
 SEQUENCE_RANGE = 1 << 32
 # Twice the 16 packets of 1,200 bytes that may be under way, and the platform's own
@@ -30,6 +31,8 @@
 CLOSED_SECONDS = 3.0
 IDLE_MARGIN_SECONDS = 5.0
 MAX_REGISTERED = 100_000
+# New flows without an answer at one slot while others wait: one at work, one queued.
+UNSERVED_PER_SLOT = 2
 # Weight of the newest half second in the mean of requests under way.
 BUSY_SMOOTHING = 0.5
 
@@ -53,6 +56,8 @@
     first_sequence : int or None
         Position at which the backend server began; tells its answers to an opening
         apart from those of other servers.
+    served : bool
+        Whether the server has answered anything, or is not expected to.
     last_packet : bytes
         Newest packet of the caller, sent again to ask whether the flow still lives.
     """
@@ -67,6 +72,7 @@
     caller_closed: bool = False
     backend_closed: bool = False
     busy_since: float | None = None
+    served: bool = False
 
 
 @dataclass(slots=True)
@@ -137,6 +143,8 @@
         self._registered: dict[bytes, tuple[str, float]] = {}
         self._offers: dict[int, tuple[Forward, Segment, float]] = {}
         self._asking: dict[bytes, Forward] = {}
+        self._waiting = WaitingOpenings()
+        self._unserved = 0
         self._next_tag = 1
         self._news: dict[str, list[bytes]] = {}
         self._running = 0
@@ -157,6 +165,11 @@
         """Return how many requests are under way."""
         return self._running
 
+    @property
+    def waiting(self) -> int:
+        """Return how many openings wait for room."""
+        return len(self._waiting)
+
     @property
     def registered(self) -> int:
         """Return how many flows of siblings are registered here."""
@@ -203,6 +216,37 @@
         self, frame: Forward, segment: Segment, now: float
     ) -> list[PassthroughEffect]:
         """Take a caller's packet that a balancer or a sibling sent on."""
+        effects = self._take_forward(frame, segment, now)
+        if frame.report and not frame.visited and not _answers(effects):
+            # Silence would make the balancer take this agent for dead.
+            effects.append(ToPeer(frame.origin, Load(self.load_report(now))))
+        return effects
+
+    def release(self, now: float) -> list[PassthroughEffect]:
+        """Admit openings that have waited for room, and refuse those for too long."""
+        effects: list[PassthroughEffect] = []
+        for opening in self._waiting.take_expired(now):
+            effects += self._refuse(opening.frame, opening.segment, "waited", now)
+        while self._waiting and self._has_room_for_waiting():
+            service = self._waiting.next_service
+            if self._gate.refusal(service, now) is not None:
+                break
+            opening = self._waiting.take()
+            effects += self._admit(opening.frame, opening.segment, now, opening.since)
+        return effects
+
+    def _has_room_for_waiting(self) -> bool:
+        """Tell whether the server can take the first request of one more flow.
+
+        Flows that have waited bring their requests at once; all of them together
+        would make a server shed them.
+        """
+        report = self._gate.report
+        return report is not None and self._unserved < UNSERVED_PER_SLOT * report.slots
+
+    def _take_forward(
+        self, frame: Forward, segment: Segment, now: float
+    ) -> list[PassthroughEffect]:
         if segment.opening:
             return self._on_opening(frame, segment, now)
         flow = self._flows.get(segment.flow)
@@ -284,6 +328,8 @@
         flow = self._flows.get(segment.flow)
         if flow is not None and flow.state is not FlowState.CLOSED:
             return self._deliver(frame, segment, flow, now)
+        if segment.flow in self._waiting:
+            return []
         service = self._service_of(frame, segment)
         if service is None:
             return self._refuse(frame, segment, "no_route", now)
@@ -292,12 +338,18 @@
             reason = "stopping"
         if reason is not None:
             return self._pass_on(frame, segment, service, reason, now)
-        if flow is not None:
+        return self._admit(frame, segment, now, now)
+
+    def _admit(
+        self, frame: Forward, segment: Segment, now: float, since: float
+    ) -> list[PassthroughEffect]:
+        if segment.flow in self._flows:
             self._drop_flow(segment.flow)
         self._gate.admit(segment.flow, now)
         self._flows[segment.flow] = PassthroughFlow(
             FlowState.HALF_OPEN, now, now, frame.data_centre, last_packet=segment.data
         )
+        self._unserved += 1
         self._decide(
             "flow_admitted",
             segment.flow,
@@ -308,6 +360,7 @@
             running=self._running,
             cold=self._gate.is_cold(now),
             report_age=now - self._gate.reported_at,
+            waited=now - since,
         )
         tagged = self._codec.write_tag(segment.data, self._offer(frame, segment, now))
         return [
@@ -344,7 +397,7 @@
                 ranked, frame.data_centre, self._board, visited, now
             )
         if chosen is None:
-            return self._refuse(frame, segment, reason, now)
+            return self._wait_or_refuse(frame, segment, service, reason, now)
         self._board.place(chosen.host)
         self._decide(
             "flow_passed_on",
@@ -357,6 +410,23 @@
         passed = replace_frame(frame, visited=visited, service=service)
         return [ToPeer(chosen.host, passed)]
 
+    def _wait_or_refuse(
+        self, frame: Forward, segment: Segment, service: str, reason: str, now: float
+    ) -> list[PassthroughEffect]:
+        wait = self._gate.expected_wait(reason, len(self._waiting), now)
+        if wait is None or wait > LONGEST_WAIT_SECONDS or self._waiting.full:
+            return self._refuse(frame, segment, reason, now)
+        self._decide(
+            "flow_waits",
+            segment.flow,
+            reason=reason,
+            expected=wait,
+            ahead=len(self._waiting),
+        )
+        opening = WaitingOpening(frame, segment, service, now)
+        self._waiting.add(opening, self._table.priority_of(segment.flow))
+        return []
+
     def _refuse(
         self, frame: Forward, segment: Segment, reason: str, now: float
     ) -> list[PassthroughEffect]:
@@ -416,13 +486,15 @@
         if segment.size and flow.busy_since is not None:
             self._observe(now - flow.busy_since)
             self._idle(flow, now)
+        if segment.size:
+            self._note_served(flow)
         if segment.closing:
             flow.backend_closed = True
         if segment.reset or (flow.caller_closed and flow.backend_closed):
             self._close(flow, now)
 
     def _learn(self, segment: Segment, now: float) -> list[PassthroughEffect]:
-        flow = PassthroughFlow(FlowState.OPEN, now, now)
+        flow = PassthroughFlow(FlowState.OPEN, now, now, served=True)
         if segment.accepting:
             flow.state = FlowState.HALF_OPEN
             flow.first_sequence = segment.sequence
@@ -556,6 +628,7 @@
             self._news.setdefault(home, []).append(key)
 
     def _close(self, flow: PassthroughFlow, now: float) -> None:
+        self._note_served(flow)
         self._idle(flow, now)
         flow.state = FlowState.CLOSED
 
@@ -564,8 +637,14 @@
             flow.busy_since = None
             self._count_busy(-1, now)
 
+    def _note_served(self, flow: PassthroughFlow) -> None:
+        if not flow.served:
+            flow.served = True
+            self._unserved -= 1
+
     def _drop_flow(self, key: bytes) -> None:
         flow = self._flows.pop(key)
+        self._note_served(flow)
         self._idle(flow, self._busy_at)
         self._gate.end_flow()
 
@@ -586,3 +665,7 @@
         True,
         frame.data,
     )
+
+
+def _answers(effects: list[PassthroughEffect]) -> bool:
+    return any(type(e) is ToPeer and type(e.frame) is Owned for e in effects)
--- a/src/berylturn/platform/documents.py
+++ b/src/berylturn/platform/documents.py
@@ -26,6 +26,7 @@
     host: str
     # Not a path on these deployments, but a port between slashes.
     path_prefix: str
+    priority: int = 0
     service: str | None = None
     weighted_services: list[_Weighted] | None = None
 
@@ -75,7 +76,9 @@
     for raw in found.routes:
         try:
             route = _route.decode(raw)
-            routes[_pack_address(route)] = Route(route.name, _shares(route))
+            routes[_pack_address(route)] = Route(
+                route.name, _shares(route), route.priority
+            )
         except (msgspec.DecodeError, OSError, ValueError, struct.error) as error:
             problems.append(f"route {bytes(raw)[:80]!r}: {error}")
     services = {
--- a/src/berylturn/platform/start.py
+++ b/src/berylturn/platform/start.py
@@ -31,7 +31,7 @@
     """Run a balancer until SIGTERM."""
     from ..process.passthrough_balancer import PassthroughBalancer
 
-    daemon = PassthroughBalancer(_make_node(path, PassthroughBalancerSettings))
+    daemon = PassthroughBalancer(_make_node(path, PassthroughBalancerSettings, started))
     await daemon.run(refuse_heartbeats, serve_readiness(daemon.is_ready))
 
 
@@ -39,7 +39,7 @@
     """Run an agent until SIGTERM."""
     from ..process.passthrough_agent import PassthroughAgentDaemon
 
-    daemon = PassthroughAgentDaemon(_make_node(path, PassthroughAgentSettings), started)
+    daemon = PassthroughAgentDaemon(_make_node(path, PassthroughAgentSettings, started))
     heartbeats = serve_heartbeats(daemon.on_report, daemon.on_leave)
     await daemon.run(heartbeats, serve_readiness(lambda: True))
 
@@ -71,10 +71,10 @@
         sys.exit(1)
 
 
-def _make_node(path: str, model: type) -> PassthroughNode:
+def _make_node(path: str, model: type, started: float) -> PassthroughNode:
     settings = read_settings(path, model)
     logs = LogWriter(settings.logs.file, settings.logs.level, settings.node.name)
     store = ObjectClient(parse_address(settings.platform.url.removeprefix("http://")))
     return PassthroughNode(
-        settings, SystemClock(), logs, packets, store, decode_configuration
+        settings, SystemClock(), logs, packets, store, decode_configuration, started
     )
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -29,6 +29,8 @@
 # Registrations gather for a moment, so that a crowd of new flows is one frame.
 NEWS_SECONDS = 0.02
 SWEEP_SECONDS = 1.0
+# Openings that wait are looked at this often.
+RELEASE_SECONDS = 0.03
 # Balancers that hear of this agent's load, of those that sent it something lately.
 MAX_BALANCERS = 64
 BALANCER_SECONDS = 10.0
@@ -45,18 +47,15 @@
     ----------
     node : PassthroughNode
         Sockets, view and logs.
-    started : float
-        Seconds on the monotonic clock when the process began; what was admitted
-        before that is not known.
     """
 
-    def __init__(self, node: PassthroughNode, started: float) -> None:
+    def __init__(self, node: PassthroughNode) -> None:
         self._node = node
         section = node.settings.opaque_backend
         bounds = GateBounds(
             section.cold_factor, section.cold_slack, section.heartbeat.total_seconds()
         )
-        self._gate = OpeningGate(bounds, started)
+        self._gate = OpeningGate(bounds, node.started)
         self._board = LoadBoard()
         self._rules = PassthroughAgent(
             node.host,
@@ -72,6 +71,7 @@
         self._siblings: list[AgentEntry] = []
         self._told_accepting: bool | None = None
         self._news_due = False
+        self._release_timer: asyncio.TimerHandle | None = None
 
     async def run(self, heartbeats: Handler, readiness: Handler) -> None:
         """Serve until SIGTERM."""
@@ -109,6 +109,7 @@
             self._on_state(held, restarted)
         if restarted:
             self._carry_out(self._rules.on_restarted())
+        self._carry_out(self._rules.release(node.now()))
         self._tell_if_changed()
         return True
 
@@ -199,10 +200,17 @@
             if type(effect) is ToBackend:
                 self._backend.sendto(effect.data)
         self._node.carry_out(effects)
+        if self._rules.waiting and self._release_timer is None:
+            loop = asyncio.get_running_loop()
+            self._release_timer = loop.call_later(RELEASE_SECONDS, self._release)
         if not self._news_due:
             self._news_due = True
             asyncio.get_running_loop().call_later(NEWS_SECONDS, self._send_news)
 
+    def _release(self) -> None:
+        self._release_timer = None
+        self._carry_out(self._rules.release(self._node.now()))
+
     def _send_news(self) -> None:
         self._news_due = False
         self._node.carry_out(self._rules.take_news())
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -44,6 +44,8 @@
         The platform.
     decode_table : callable
         Reads a configuration.
+    started : float
+        Seconds on the monotonic clock when the process began.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         codec: SegmentCodec,
         store: ObjectStore,
         decode_table: TableDecoder,
+        started: float,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -66,6 +69,7 @@
         self.view = ObjectView(self._on_view)
         self.table = RouteTable()
         self.out: frozenset[str] = frozenset()
+        self.started = started
         self._decode_table = decode_table
         self._on_change: Callable[[Kind], None] = lambda kind: None
         self._packets: asyncio.DatagramTransport | None = None
--- a/src/berylturn/version/routes.py
+++ b/src/berylturn/version/routes.py
@@ -9,6 +9,7 @@
 SHARE_HASH_RANGE = 1 << (8 * SHARE_HASH_BYTES)
 # Services that one address led to before; open flows may still belong to them.
 MAX_FORMER = 4
+LAST_PRIORITY = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,10 +22,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """What one address of the platform leads to."""
+    """What one address of the platform leads to; priority 0 is the most urgent."""
 
     name: str
     shares: tuple[ServiceShare, ...]
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +74,11 @@
                 former[address] = tuple(kept)[:MAX_FORMER]
         return replace(self, former=former)
 
+    def priority_of(self, flow: bytes) -> int:
+        """Return the priority of a flow's route; unknown ones go last."""
+        route = self.routes.get(flow[6:])
+        return LAST_PRIORITY if route is None else route.priority
+
     def possible_services(self, flow: bytes) -> list[str]:
         """Return the services that an open flow may belong to, the likeliest first."""
         current = self.service_of(flow)
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -189,6 +189,10 @@
             self._run(name, self.agents[name].on_restarted())
         return restarted
 
+    def release(self, name: str) -> None:
+        """Let an agent look at the openings that wait."""
+        self._run(name, self.agents[name].release(self.now))
+
     def change_table(self, table: RouteTable) -> None:
         """Put a table in force on all nodes."""
         self.table = table = table.after(self.table)
@@ -222,6 +226,11 @@
         self.send(balancer, caller_packet(flow, ACK, ack=ack, body=b"GET"))
         return any(data.endswith(b"ok") for _, data in self.to_caller[seen:])
 
+    def ask_all(self, owner: str) -> None:
+        """Send a request on each flow that a backend server holds."""
+        for flow in list(self.backends[owner].flows):
+            self.ask(next(iter(self.routers)), flow, owner)
+
     def was_reset(self, flow: bytes) -> bool:
         """Tell whether a caller got a reset of a flow from one of the nodes."""
         return any(
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -132,3 +132,56 @@
             mesh.now += 0.01
         # Two a second times 1.5, and 5 of slack.
         self.assertEqual(admitted, mesh.backends["a1"].openings)
+
+
+class TestWaiting(unittest.TestCase):
+    """Let openings wait where that serves them.
+
+    Load pattern: all servers of a service restart, and every caller opens again.
+    """
+
+    @params(("cold ends soon", 0.8, 60, 60), ("cold ends late", 1.9, 60, 16))
+    def test_crowd_after_power_loss(
+        self, _: str, cold: float, crowd: int, served: int
+    ) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, {"front-a": "dc-a"})
+        mesh.start_agent("a1", reported=False)
+        mesh.now += 2.5
+        mesh.report("a1", cold_seconds=cold)
+        for number in range(crowd):
+            mesh.open_flow("front-a", flow_key(number))
+        first = mesh.backends["a1"].openings
+        self.assertEqual(8, first)
+        for _step in range(12):
+            mesh.now += 0.1
+            for _turn in range(crowd):
+                mesh.release("a1")
+                mesh.ask_all("a1")
+        self.assertEqual(served, mesh.backends["a1"].openings)
+        resets = sum(mesh.was_reset(flow_key(number)) for number in range(crowd))
+        self.assertEqual(crowd - served, resets)
+
+    def test_waiting_crowd_does_not_flood_the_server(self) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, {"front-a": "dc-a"})
+        mesh.start_agent("a1", reported=False)
+        mesh.now += 2.5
+        mesh.report("a1", cold_seconds=0.5)
+        for number in range(60):
+            mesh.open_flow("front-a", flow_key(number))
+        mesh.now += 0.6
+        mesh.release("a1")
+        # Eight in cold start have no answer yet, so no more than six are at work.
+        self.assertEqual(8, mesh.backends["a1"].openings)
+        mesh.ask_all("a1")
+        mesh.release("a1")
+        self.assertEqual(14, mesh.backends["a1"].openings)
+
+    def test_first_report_after_a_kill_admits_what_waits(self) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, {"front-a": "dc-a"})
+        mesh.start_agent("a1", reported=False)
+        mesh.open_flow("front-a", flow_key(1))
+        self.assertEqual(0, mesh.backends["a1"].openings)
+        mesh.now += 0.9
+        mesh.report("a1")
+        mesh.release("a1")
+        self.assertEqual(1, mesh.backends["a1"].openings)
