Play the platform on loopback, and let balancers watch for agents

A stand-in of the object API, opaque callers and backend servers, and routers run the real daemons on loopback; 15 tests cover stops, kills, refusals by the platform, moved routes, draining, evacuation, lost entries and restarted servers.

--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -98,9 +98,21 @@
 
 
 class Probe(msgspec.Struct, array_like=True, tag=6):
-    """Ask an agent for its load."""
+    """Tell an agent what a balancer knows, or ask for its load.
+
+    Attributes
+    ----------
+    newest : list of int
+        Newest revision of each kind of object that the balancer knows.
+    following : bool
+        Whether the platform serves the balancer's watches now.
+    ask : bool
+        Whether a load report is wanted.
+    """
 
     newest: list[int]
+    following: bool
+    ask: bool
 
 
 PeerFrame = Forward | Owned | Registered | Load | Ended | Probe
--- a/src/berylturn/platform/objects.py
+++ b/src/berylturn/platform/objects.py
@@ -101,15 +101,19 @@
             ObjectChange(_stored(event.object), event.removed) for event in found.events
         ]
 
-    async def put_object(self, kind: Kind, name: str, body: bytes) -> None:
-        """Create or replace an object."""
+    async def put_object(
+        self, kind: Kind, name: str, body: bytes, exists: bool
+    ) -> None:
+        """Create or replace an object; `exists` says which to try first."""
         item = {"meta": {"name": name, "finalizers": []}, "spec": msgspec.Raw(body)}
         data = _encode(item)
         path = f"/-/objects/{_KINDS[kind]}"
+        calls = [("PUT", f"{path}/{quote(name, safe='')}"), ("POST", path)]
+        (first, first_path), (other, other_path) = calls if exists else calls[::-1]
         try:
-            await self._write("PUT", f"{path}/{quote(name, safe='')}", data)
-        except ObjectNotFound:
-            await self._write("POST", path, data)
+            await self._write(first, first_path, data)
+        except (ObjectNotFound, VersionConflict):
+            await self._write(other, other_path, data)
 
     async def remove_object(self, kind: Kind, name: str, revision: int | None) -> None:
         """Remove an object, if given only at that revision of it."""
--- a/src/berylturn/platform/start.py
+++ b/src/berylturn/platform/start.py
@@ -75,6 +75,14 @@
     settings = read_settings(path, model)
     logs = LogWriter(settings.logs.file, settings.logs.level, settings.node.name)
     store = ObjectClient(parse_address(settings.platform.url.removeprefix("http://")))
+    relayed = model is PassthroughAgentSettings
     return PassthroughNode(
-        settings, SystemClock(), logs, packets, store, decode_configuration, started
+        settings,
+        SystemClock(),
+        logs,
+        packets,
+        store,
+        decode_configuration,
+        started,
+        relayed,
     )
--- a/src/berylturn/process/agent_entries.py
+++ b/src/berylturn/process/agent_entries.py
@@ -98,7 +98,8 @@
             await self._store.remove_object(Kind.AGENTS, self._name, None)
         else:
             body = msgspec.json.encode(wanted)
-            await self._store.put_object(Kind.AGENTS, self._name, body)
+            exists = self._name in self._view.snapshots[Kind.AGENTS].objects
+            await self._store.put_object(Kind.AGENTS, self._name, body, exists)
         log_event("entry_written", entry=wanted and msgspec.to_builtins(wanted))
 
     def _differs(self) -> bool:
--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -23,6 +23,10 @@
 # While the platform turns this node away, a peer is asked this often.
 PEER_PERIOD_SECONDS = 0.5
 PULL_TIMEOUT_SECONDS = 1.0
+# A relayed node follows the platform itself when no peer that does has been heard of
+# for this long; such peers confirm once a second.
+RELAY_SECONDS = 3.0
+RELAY_CHECK_SECONDS = 0.5
 # Pulls that frames of peers may cause.
 PULL_GAP_SECONDS = 0.3
 VIEW_PATH = "/view"
@@ -37,6 +41,13 @@
 
 
 KINDS = tuple(Kind)
+# Pause before the next watch after a change, so that changes in quick succession cost
+# one call a node. A single change is seen at once; peers tell of later ones meanwhile.
+GATHER_SECONDS = {
+    Kind.CONFIGURATION: 0.25,
+    Kind.EVACUATIONS: 0.25,
+    Kind.AGENTS: 1.0,
+}
 
 
 class ObjectStore(Protocol):
@@ -50,8 +61,10 @@
     ) -> tuple[int, list[ObjectChange]]:
         """Wait for changes after a revision; raise `WatchExpired` if too old."""
 
-    async def put_object(self, kind: Kind, name: str, body: bytes) -> None:
-        """Create or replace an object."""
+    async def put_object(
+        self, kind: Kind, name: str, body: bytes, exists: bool
+    ) -> None:
+        """Create or replace an object; `exists` says which to try first."""
 
     async def remove_object(self, kind: Kind, name: str, revision: int | None) -> None:
         """Remove an object, if given only at that revision of it."""
@@ -147,6 +160,9 @@
         Port at which peers share their view.
     list_peers : callable
         Returns IP addresses of nodes that may know more, the likeliest first.
+    relayed : bool
+        Whether to read the platform once and leave watching it to peers, so that
+        calls grow more slowly than the fleet.
     """
 
     def __init__(
@@ -157,6 +173,7 @@
         clock: Clock,
         peer_port: int,
         list_peers: Callable[[], list[str]],
+        relayed: bool = False,
     ) -> None:
         self._view = view
         self._store = store
@@ -164,6 +181,8 @@
         self._clock = clock
         self._peer_port = peer_port
         self._list_peers = list_peers
+        self._relayed = relayed
+        self._confirmed_at = float("-inf")
         self._following: set[Kind] = set()
         self._pulled_at = float("-inf")
         self._pulling = False
@@ -179,8 +198,20 @@
             self._tasks.start(self._follow(kind), f"follow_{kind}")
         self._tasks.start(self._ask_peers(), "ask_peers")
 
-    def note_peer(self, host: str, newest: list[int]) -> None:
-        """Pull from a peer that knows of a change which is missing here."""
+    def note_peer(self, host: str, newest: list[int], following: bool = False) -> None:
+        """Pull from a peer that knows of a change which is missing here.
+
+        Parameters
+        ----------
+        host : str
+            IP address of the peer.
+        newest : list of int
+            Newest revision of each kind that it knows.
+        following : bool
+            Whether the platform serves its watches now.
+        """
+        if following:
+            self._confirmed_at = self._clock.monotonic()
         if self._view.lacks(newest):
             self.pull_from(host)
 
@@ -204,10 +235,15 @@
                     if lost_at is not None:
                         self._log_regained(kind, lost_at)
                         lost_at = None
+                if self._is_relayed():
+                    await asyncio.sleep(RELAY_CHECK_SECONDS)
+                    continue
                 position = self._view.snapshots[kind].at_revision
                 revision, changes = await self._store.watch_objects(kind, position)
                 self._view.apply(kind, revision, changes)
                 pause = FIRST_PAUSE_SECONDS
+                if changes:
+                    await asyncio.sleep(GATHER_SECONDS[kind])
             except WatchExpired:
                 log_event("watch_expired", kind=kind, revision=position)
                 listed = False
@@ -220,6 +256,10 @@
                 await asyncio.sleep(pause * random.uniform(0.5, 1.0))
                 pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
 
+    def _is_relayed(self) -> bool:
+        silent = self._clock.monotonic() - self._confirmed_at
+        return self._relayed and silent < RELAY_SECONDS
+
     def _log_regained(self, kind: Kind, lost_at: float) -> None:
         away = self._clock.monotonic() - lost_at
         snapshot = self._view.snapshots[kind]
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -173,8 +173,9 @@
             self._node.sync.note_peer(host, frame.load.newest)
         elif type(frame) is Probe:
             self._note_balancer(host, now)
-            self._node.send(host, Load(self._rules.load_report(now)))
-            self._node.sync.note_peer(host, frame.newest)
+            if frame.ask:
+                self._node.send(host, Load(self._rules.load_report(now)))
+            self._node.sync.note_peer(host, frame.newest, frame.following)
         elif type(frame) is Owned:
             self._board.hear(host, frame.load, now)
 
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -115,9 +115,10 @@
             now = node.now()
             for host in self._rules.interesting(now):
                 age = self._board.age_of(host, now)
-                if age is None or age > REPORT_AGE_SECONDS:
+                ask = age is None or age > REPORT_AGE_SECONDS
+                if ask:
                     self._board.ask(host, now)
-                    node.send(host, Probe(node.view.newest))
+                node.send(host, Probe(node.view.newest, node.sync.connected, ask))
             for name, silent in self._rules.silent_agents(DEAD_SECONDS, now):
                 node.tasks.spawn(self._remove(name, silent))
             node.metrics.gauge("flow_hints", self._rules.hints)
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -46,6 +46,8 @@
         Reads a configuration.
     started : float
         Seconds on the monotonic clock when the process began.
+    relayed : bool
+        Whether to leave watching the platform to peers.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         store: ObjectStore,
         decode_table: TableDecoder,
         started: float,
+        relayed: bool,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -81,6 +84,7 @@
             clock,
             settings.passthrough.peer_port,
             self._list_peers,
+            relayed,
         )
         self.known_peers: Callable[[], list[str]] = list
 
--- /dev/null
+++ b/src/berylturn_standins/opaque_deployment.py
@@ -0,0 +1,208 @@
+"""Start balancers and agents for passthrough flows beside their stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+
+import aiohttp
+
+from .objects import ObjectStandIn
+from .opaque import OpaqueBackend, OpaqueCallers, Ports, Router
+
+REPOSITORY = Path(__file__).parent.parent.parent
+PLATFORM_ADDRESS = ("127.9.0.1", 18169)
+SERVICE_ADDRESS = ("198.18.0.1", 443)
+BEAT_SECONDS = 0.3
+POLL_SECONDS = 0.02
+START_SECONDS = 20.0
+STOP_SECONDS = 10.0
+
+
+class OpaqueDeployment:
+    """Own the processes of one deployment; use it as a context manager.
+
+    Parameters
+    ----------
+    balancers : dict of str to str
+        Data centre by name.
+    agents : dict of str to tuple of str and str
+        Data centre and service by name.
+    steady : bool
+        Whether the routers move only the flows of a lost balancer.
+    """
+
+    def __init__(
+        self,
+        balancers: dict[str, str],
+        agents: dict[str, tuple[str, str]],
+        steady: bool = False,
+    ) -> None:
+        self.ports = Ports()
+        self.platform = ObjectStandIn(PLATFORM_ADDRESS)
+        self.hosts = {name: f"127.8.0.{n}" for n, name in enumerate(balancers, 1)}
+        self.hosts |= {name: f"127.8.1.{n}" for n, name in enumerate(agents, 1)}
+        self.balancers = balancers
+        self.agents = agents
+        self.router = Router(
+            [self.hosts[name] for name in balancers], self.ports, steady
+        )
+        self.callers = OpaqueCallers("127.7.0.1", self.router, self.ports)
+        self.backends = {
+            name: OpaqueBackend(self.hosts[name], service, centre, self.ports, 1)
+            for name, (centre, service) in agents.items()
+        }
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.http: aiohttp.ClientSession | None = None
+        self._folder = tempfile.TemporaryDirectory(prefix="berylturn-")
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def __aenter__(self) -> OpaqueDeployment:
+        self.http = aiohttp.ClientSession()
+        await self.platform.start()
+        await self.configure(1, desk=1.0)
+        await self.callers.start()
+        for backend in self.backends.values():
+            await backend.start()
+        for name in [*self.balancers, *self.agents]:
+            await self.start(name)
+        self._tasks = [
+            asyncio.create_task(self._beat()),
+            asyncio.create_task(self._probe()),
+        ]
+        await self.until(lambda: len(self.router.ready) == len(self.balancers))
+        await self.until(
+            lambda: self.platform.names("berylturn-agents") == set(self.agents)
+        )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        for name in list(self.processes):
+            await self.stop(name, signal.SIGKILL)
+        for backend in self.backends.values():
+            backend.stop()
+        self.callers.stop()
+        await self.http.close()
+        await self.platform.stop()
+        self._folder.cleanup()
+
+    async def configure(self, version: int, **shares: float) -> None:
+        """Write a configuration with one route."""
+        services = sorted({service for _, service in self.agents.values()})
+        route = {
+            "name": "r1",
+            "host": SERVICE_ADDRESS[0],
+            "path_prefix": f"/{SERVICE_ADDRESS[1]}/",
+            "type": "idempotent",
+            "timeout_ms": 2000,
+            "aim_ms": 200,
+            "priority": 1,
+            "weighted_services": [
+                {"service": name, "weight": weight} for name, weight in shares.items()
+            ],
+        }
+        limits = {"max_connections": 2000, "cold_start_s": 2.0, "cold_per_s": 0.0}
+        spec = {
+            "version": version,
+            "routes": [route] if shares else [],
+            "services": [{"name": name, **limits} for name in services],
+            "limits": {"idle_timeout_ms": 15000},
+        }
+        await self.platform.put("config", "main", spec)
+
+    async def start(self, name: str) -> None:
+        """Start one daemon."""
+        role = "balancer" if name in self.balancers else "agent"
+        path = Path(self._folder.name) / f"{name}.ini"
+        path.write_text(self._settings(name, role))
+        log = open(Path(self._folder.name) / f"{name}.log", "ab")  # noqa: SIM115
+        with log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(REPOSITORY / "deploy" / "start.py"),
+                role,
+                env={**os.environ, "BERYLTURN_SETTINGS": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def stop(self, name: str, number: int = signal.SIGTERM) -> int:
+        """End one daemon and return its exit status."""
+        process = self.processes.pop(name)
+        if process.returncode is None:
+            process.send_signal(number)
+        return await asyncio.wait_for(process.wait(), STOP_SECONDS)
+
+    def log_of(self, name: str) -> str:
+        """Return what a daemon has logged."""
+        return (Path(self._folder.name) / f"{name}.log").read_text()
+
+    async def until(
+        self, holds: Callable[[], bool], seconds: float = START_SECONDS
+    ) -> None:
+        """Wait until something holds or raise `TimeoutError` with the logs' ends."""
+        try:
+            async with asyncio.timeout(seconds):
+                while not holds():
+                    await asyncio.sleep(POLL_SECONDS)
+        except TimeoutError:
+            ends = [f"{n}: {self.log_of(n)[-800:]}" for n in sorted(self.processes)]
+            raise TimeoutError("\n".join(ends)) from None
+
+    async def read_metrics(self, name: str) -> str:
+        """Return the metrics page of a daemon."""
+        url = f"http://{self.hosts[name]}:{self.ports.metrics}/metrics"
+        async with self.http.get(url) as answer:
+            return await answer.text()
+
+    async def _beat(self) -> None:
+        while True:
+            beats = [backend.beat(self.http) for backend in self.backends.values()]
+            await asyncio.gather(*beats)
+            await asyncio.sleep(BEAT_SECONDS)
+
+    async def _probe(self) -> None:
+        while True:
+            await self.router.probe(self.http)
+            await asyncio.sleep(BEAT_SECONDS)
+
+    def _settings(self, name: str, role: str) -> str:
+        host, ports = self.hosts[name], self.ports
+        centre = self.balancers[name] if role == "balancer" else self.agents[name][0]
+        seeds = ",".join(
+            f"{self.hosts[seed]}:{ports.heartbeats}" for seed in self.balancers
+        )
+        lines = [
+            "[node]",
+            f"name = {name}",
+            f"data_centre = {centre}",
+            "[passthrough]",
+            f"host = {host}",
+            f"packets = {host}:{ports.packets}",
+            f"ready = {host}:{ports.ready}",
+            f"heartbeats = {host}:{ports.heartbeats}",
+            f"peer_port = {ports.peers}",
+            f"seeds = {seeds}",
+            "grace = 6s",
+            "[platform]",
+            f"url = http://{PLATFORM_ADDRESS[0]}:{PLATFORM_ADDRESS[1]}",
+            "[metrics]",
+            f"listen = {host}:{ports.metrics}",
+        ]
+        if role == "agent":
+            lines += [
+                "[opaque_backend]",
+                f"address = {host}:{ports.backend}",
+                f"outbound = {host}:{ports.outbound}",
+                f"heartbeat = {int(BEAT_SECONDS * 1000)}ms",
+                "cold_factor = 1.5",
+                "cold_slack = 5",
+            ]
+        return "\n".join(lines) + "\n"
--- /dev/null
+++ b/tests/test_passthrough_daemons.py
@@ -0,0 +1,160 @@
+"""Real daemons for passthrough flows beside the platform's stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import signal
+import unittest
+from collections.abc import Awaitable, Callable
+
+from nose2.tools import params
+
+from berylturn_standins.opaque_deployment import SERVICE_ADDRESS, OpaqueDeployment
+
+BALANCERS = {"front-a": "dc-a", "front-b": "dc-b"}
+AGENTS = {
+    "side-a1": ("dc-a", "desk"),
+    "side-a2": ("dc-a", "desk"),
+    "side-b1": ("dc-b", "desk"),
+    "side-r1": ("dc-a", "room"),
+}
+FLOWS = 12
+
+
+def run_async(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
+    """Return a test that runs a coroutine, since the runner awaits none of a table."""
+
+    @functools.wraps(test)
+    def run(*arguments: object) -> None:
+        asyncio.run(test(*arguments))
+
+    return run
+
+
+async def open_flows(deployment: OpaqueDeployment) -> list:
+    """Open some flows, each with one request."""
+    flows = [await deployment.callers.open(SERVICE_ADDRESS) for _ in range(FLOWS)]
+    assert all(flows), "a flow was refused"
+    assert all([await flow.ask() for flow in flows])
+    return flows
+
+
+async def all_answered(flows: list) -> bool:
+    """Send one request on each flow; return whether all got their answer."""
+    return all(await asyncio.gather(*(flow.ask() for flow in flows)))
+
+
+class TestDaemons(unittest.TestCase):
+    """Flows live on whatever happens to the processes of the system."""
+
+    @params(
+        ("balancer stopped", "front-a", signal.SIGTERM, False),
+        ("balancer killed", "front-a", signal.SIGKILL, True),
+        ("agent killed", "side-a1", signal.SIGKILL, False),
+        ("agent stopped", "side-b1", signal.SIGTERM, True),
+    )
+    @run_async
+    async def test_flows_outlive(
+        self, _: str, name: str, number: int, steady: bool
+    ) -> None:
+        async with OpaqueDeployment(BALANCERS, AGENTS, steady) as deployment:
+            flows = await open_flows(deployment)
+            await deployment.stop(name, number)
+            if name in BALANCERS:
+                await deployment.until(lambda: len(deployment.router.ready) == 1)
+                self.assertTrue(await all_answered(flows))
+            await deployment.start(name)
+            await deployment.until(lambda: len(deployment.router.ready) == 2)
+            await deployment.until(
+                lambda: deployment.log_of(name).count('"started"') == 2
+            )
+            self.assertTrue(await all_answered(flows))
+            served = sum(len(b.opened) for b in deployment.backends.values())
+            self.assertEqual(FLOWS, served)
+
+    @run_async
+    async def test_hangup_and_metrics(self) -> None:
+        async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
+            flows = await open_flows(deployment)
+            for process in deployment.processes.values():
+                process.send_signal(signal.SIGHUP)
+            self.assertTrue(await all_answered(flows))
+            page = ""
+            for name in AGENTS:
+                page += await deployment.read_metrics(name)
+            self.assertIn("berylturn_flow_admitted_total", page)
+            self.assertIn("berylturn_response_seconds_bucket", page)
+
+    @params("busy", "many", "reset", "silent")
+    @run_async
+    async def test_node_starts_while_the_platform_refuses_it(self, mode: str) -> None:
+        async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
+            flows = await open_flows(deployment)
+            await deployment.stop("front-a", signal.SIGKILL)
+            deployment.platform.trouble.mode = mode
+            deployment.platform.trouble.hosts = {deployment.hosts["front-a"]}
+            await deployment.until(lambda: len(deployment.router.ready) == 1)
+            await deployment.start("front-a")
+            await deployment.until(lambda: len(deployment.router.ready) == 2)
+            self.assertTrue(await all_answered(flows))
+
+    @run_async
+    async def test_draining_server_gets_no_opening(self) -> None:
+        async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
+            flows = await open_flows(deployment)
+            leaving = deployment.backends["side-a1"]
+            leaving.state = "draining"
+            self.assertTrue(await leaving.beat(deployment.http))
+            before = len(leaving.opened)
+            await open_flows(deployment)
+            self.assertEqual(before, len(leaving.opened))
+            self.assertTrue(await all_answered(flows))
+
+    @params(("moved", {"room": 1.0}), ("dropped", {}))
+    @run_async
+    async def test_changed_route(self, _: str, shares: dict) -> None:
+        async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
+            flows = await open_flows(deployment)
+            await deployment.platform.forget_history()
+            await deployment.configure(7, **shares)
+            for name in BALANCERS:
+                await deployment.until(
+                    lambda n=name: '"version":7' in deployment.log_of(n)
+                )
+            if shares:
+                self.assertTrue(await all_answered(flows))
+            room = deployment.backends["side-r1"]
+            flow = await deployment.callers.open(SERVICE_ADDRESS)
+            self.assertEqual(bool(shares), flow is not None)
+            self.assertEqual(len(shares), len(room.opened))
+
+    @run_async
+    async def test_evacuated_data_centre_gets_no_opening(self) -> None:
+        async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
+            await deployment.platform.put("evacuations", "dc-a", {})
+            for name in [*BALANCERS, "side-a1", "side-a2"]:
+                await deployment.until(
+                    lambda n=name: '"out":["dc-a"]' in deployment.log_of(n)
+                )
+            await open_flows(deployment)
+            self.assertEqual(FLOWS, len(deployment.backends["side-b1"].opened))
+
+    @run_async
+    async def test_lost_entry_is_back(self) -> None:
+        async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
+            deployment.platform.trouble.lost_answers = 1
+            await deployment.platform.remove("berylturn-agents", "side-a1")
+            await deployment.until(
+                lambda: "side-a1" in deployment.platform.names("berylturn-agents")
+            )
+            await open_flows(deployment)
+
+    @run_async
+    async def test_restarted_server_ends_its_flows_at_once(self) -> None:
+        async with OpaqueDeployment(BALANCERS, {"s": ("dc-a", "desk")}) as deployment:
+            flows = await open_flows(deployment)
+            backend = deployment.backends["s"]
+            backend.restart()
+            self.assertFalse(await all_answered(flows))
+            self.assertTrue(all(flow.reset for flow in flows))
