Find flows around a cut between two data centres

Ruled out: the table's expiry (the flow was there), the stopped balancers. The owner now tells the first agent of each data centre, agents answer the agent that asked them, and a silent one is asked last.

--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..version.owners import AgentEntry, rank_agents
+from ..version.owners import AgentEntry, find_homes, rank_agents
 from ..version.routes import RouteTable
 from .load_board import LoadBoard, choose_for_opening
 from .opening_gate import OpeningGate
@@ -51,13 +51,13 @@
 
     Attributes
     ----------
-    data_centre : str
-        Where it entered; empty until a caller's packet told.
     first_sequence : int or None
         Position at which the backend server began; tells its answers to an opening
         apart from those of other servers.
     served : bool
         Whether the server has answered anything, or is not expected to.
+    homes : frozenset of str
+        IP addresses of the agents that have been told who owns it.
     last_packet : bytes
         Newest packet of the caller, sent again to ask whether the flow still lives.
     """
@@ -65,10 +65,9 @@
     state: FlowState
     opened_at: float
     seen_at: float
-    data_centre: str = ""
     first_sequence: int | None = None
     last_packet: bytes = b""
-    home: str = ""
+    homes: frozenset[str] = frozenset()
     caller_closed: bool = False
     backend_closed: bool = False
     busy_since: float | None = None
@@ -217,8 +216,10 @@
     ) -> list[PassthroughEffect]:
         """Take a caller's packet that a balancer or a sibling sent on."""
         effects = self._take_forward(frame, segment, now)
-        if frame.report and not frame.visited and not _answers(effects):
-            # Silence would make the balancer take this agent for dead.
+        # Silence would make the sender take this agent for dead.
+        if frame.visited:
+            effects.append(ToPeer(frame.visited[-1], Load(self.load_report(now))))
+        elif frame.report and not _answers(effects):
             effects.append(ToPeer(frame.origin, Load(self.load_report(now))))
         return effects
 
@@ -347,7 +348,7 @@
             self._drop_flow(segment.flow)
         self._gate.admit(segment.flow, now)
         self._flows[segment.flow] = PassthroughFlow(
-            FlowState.HALF_OPEN, now, now, frame.data_centre, last_packet=segment.data
+            FlowState.HALF_OPEN, now, now, last_packet=segment.data
         )
         self._unserved += 1
         self._decide(
@@ -399,6 +400,7 @@
         if chosen is None:
             return self._wait_or_refuse(frame, segment, service, reason, now)
         self._board.place(chosen.host)
+        self._board.ask(chosen.host, now)
         self._decide(
             "flow_passed_on",
             segment.flow,
@@ -451,13 +453,12 @@
         self, frame: Forward, segment: Segment, flow: PassthroughFlow, now: float
     ) -> list[PassthroughEffect]:
         flow.seen_at = now
-        flow.data_centre = frame.data_centre
         flow.last_packet = segment.data
         if not segment.opening:
             if flow.state is FlowState.HALF_OPEN:
                 flow.state = FlowState.OPEN
-                flow.home = ""
-            if not flow.home or frame.visited:
+                flow.homes = frozenset()
+            if not flow.homes or frame.visited:
                 self._register(segment.flow, flow, again=bool(frame.visited))
             self._note_caller(segment, flow, now)
         effects: list[PassthroughEffect] = [ToBackend(segment.data)]
@@ -507,11 +508,10 @@
             origin=frame.origin if frame is not None else None,
             hops=len(frame.visited) if frame is not None else 0,
         )
-        if frame is None:
-            return []
-        flow.data_centre = frame.data_centre
         if flow.state is FlowState.OPEN:
             self._register(segment.flow, flow)
+        if frame is None:
+            return []
         return [ToPeer(frame.origin, Owned(segment.flow, self.load_report(now)))]
 
     def _look_for(
@@ -522,6 +522,7 @@
             host = owner[0]
             if host not in frame.visited:
                 visited = [*frame.visited, self._host]
+                self._board.ask(host, now)
                 return [ToPeer(host, replace_frame(frame, visited=visited))]
         if self._host in frame.visited:
             return []
@@ -562,6 +563,7 @@
         left.sort(key=lambda agent: self._board.is_suspect(agent.host, now))
         if not left:
             return self._give_up(segment, len(visited))
+        self._board.ask(left[0].host, now)
         return [ToPeer(left[0].host, replace_frame(frame, visited=visited))]
 
     def _offer(self, frame: Forward, segment: Segment, now: float) -> int:
@@ -615,17 +617,15 @@
                 self._register(key, flow)
 
     def _register(self, key: bytes, flow: PassthroughFlow, again: bool = False) -> None:
+        """Tell the agents that balancers ask first, one in each data centre."""
         service = self._table.service_of(key)
-        if service is None or not flow.data_centre:
-            return
-        agents = self._agents.get(service, ())
-        ranked = rank_agents(key, flow.data_centre, agents)
-        home = ranked[0].host if ranked else self._host
-        if home == flow.home and not again:
+        if service is None:
             return
-        flow.home = home
-        if home != self._host:
-            self._news.setdefault(home, []).append(key)
+        homes = find_homes(key, self._agents.get(service, ()))
+        for home in homes if again else homes - flow.homes:
+            if home != self._host:
+                self._news.setdefault(home, []).append(key)
+        flow.homes = homes
 
     def _close(self, flow: PassthroughFlow, now: float) -> None:
         self._note_served(flow)
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -137,7 +137,10 @@
         loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
         self.sync.start()
         log_event(
-            "started", host=section.host, data_centre=self.settings.node.data_centre
+            "started",
+            after_seconds=round(self.now() - self.started, 3),
+            host=section.host,
+            data_centre=self.settings.node.data_centre,
         )
 
     def carry_out(self, effects: list[PassthroughEffect]) -> None:
--- a/src/berylturn/version/owners.py
+++ b/src/berylturn/version/owners.py
@@ -48,3 +48,17 @@
             agent.name,
         ),
     )
+
+
+def find_homes(flow: bytes, agents: Iterable[AgentEntry]) -> frozenset[str]:
+    """Return the IP addresses of the agents that are first in each data centre.
+
+    A balancer of any data centre asks the one in its own first.
+    """
+    first: dict[str, tuple[float, str, str]] = {}
+    for agent in agents:
+        score = score_weighted(flow, agent.name, agent.weight)
+        place = (score, agent.name, agent.host)
+        if agent.data_centre not in first or place < first[agent.data_centre]:
+            first[agent.data_centre] = place
+    return frozenset(host for _, _, host in first.values())
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -126,6 +126,7 @@
             for number, name in enumerate(agents)
         }
         self.down: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
         self.boards: dict[str, LoadBoard] = {}
         self.gates: dict[str, OpeningGate] = {}
         self.agents: dict[str, PassthroughAgent] = {}
@@ -257,10 +258,15 @@
                     found = self.agents[sender].on_backend(segment, self.now)
                     queue += [(sender, item) for item in found]
                     queue += [(sender, x) for x in self.agents[sender].take_news()]
-            elif type(effect) is ToPeer and effect.host not in self.down:
+            elif type(effect) is ToPeer and self._reaches(sender, effect.host):
                 found = self._deliver(sender, effect)
                 queue += [(effect.host, item) for item in found]
 
+    def _reaches(self, sender: str, receiver: str) -> bool:
+        return receiver not in self.down and (
+            frozenset((sender, receiver)) not in self.cut
+        )
+
     def _deliver(self, sender: str, effect: ToPeer) -> list:
         frame = effect.frame
         if effect.host in self.routers:
@@ -268,7 +274,9 @@
                 self.routers[effect.host].on_frame(sender, frame, self.now)
             return []
         rules = self.agents[effect.host]
-        if type(frame) is Registered:
+        if type(frame) is Load:
+            self.boards[effect.host].hear(sender, frame.load, self.now)
+        elif type(frame) is Registered:
             rules.on_registered(sender, frame.flows, self.now)
         elif type(frame) is Forward:
             segment = packets.decode_from_caller(frame.data)
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -63,6 +63,27 @@
             for flow, owner in flows.items():
                 self.assertTrue(mesh.ask(balancer, flow, owner), (balancer, owner))
 
+    @params(("home knows", False), ("home has forgotten", True))
+    def test_flow_is_found_around_a_cut(self, _: str, forgotten: bool) -> None:
+        mesh = Mesh(SEVEN, BALANCERS)
+        owners = {}
+        for number in range(20):
+            flow = flow_key(number)
+            owners[flow] = mesh.open_flow("front-b", flow)
+        if forgotten:
+            mesh.start_agent("a1")
+            mesh.start_agent("a2")
+        mesh.cut = {frozenset((a, "c1")) for a in ("a1", "a2")}
+        for flow, owner in owners.items():
+            answers = []
+            # The caller sends its packet again after 0.2 s and 0.6 s.
+            for _try in range(3):
+                answers.append(mesh.ask("front-a", flow, owner))
+                mesh.now += 0.2
+            self.assertTrue(answers[-1], (owner, answers))
+            if not forgotten:
+                self.assertTrue(answers[0], owner)
+
     @params(("known route", {}), ("route moved before", {"room": 1.0}))
     def test_flow_of_moved_route_outlives_killed_agents(
         self, _: str, shares: dict
