Split the agent's rules, and prove the gate, placement and views by tables

A report of the backend server clears what a refused port said (it stayed down before); a stopping agent refuses what waits; a balancer that is itself cut off removes nobody's entry, and nobody's before 30 s.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 
 demo: setup
 	$(BIN)/python -m berylturn_standins.demo --loss $(LOSS)
+	$(BIN)/python -m berylturn_standins.opaque_demo
 
 test: setup
 	$(BIN)/python -m tests
--- a/src/berylturn/connection/opening_gate.py
+++ b/src/berylturn/connection/opening_gate.py
@@ -153,6 +153,7 @@
         if report.cold_seconds <= 0 and not restarted:
             self._cold_until = min(self._cold_until, max(now, self._warm_floor))
         self._flows.draining = report.draining
+        self._flows.down = False
         return restarted
 
     def leave(self, identifier: str) -> bool:
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -8,97 +8,31 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
-from enum import Enum
 
-from ..version.owners import AgentEntry, find_homes, rank_agents
+from ..version.owners import AgentEntry, rank_agents
 from ..version.routes import RouteTable
+from .flow_locations import FlowLocations
+from .flow_table import FlowState, FlowTable, PassthroughFlow
 from .load_board import LoadBoard, choose_for_opening
 from .opening_gate import OpeningGate
-from .peer_frames import Forward, Load, LoadReport, Owned, PeerFrame, Registered
+from .passthrough_effects import (
+    Decide,
+    PassthroughEffect,
+    ToBackend,
+    ToCaller,
+    ToPeer,
+)
+from .peer_frames import Forward, Load, LoadReport, Owned, Registered
 from .segments import Segment, SegmentCodec, caller_host
 from .waiting import LONGEST_WAIT_SECONDS, WaitingOpening, WaitingOpenings
 
-SEQUENCE_RANGE = 1 << 32
-# Twice the 16 packets of 1,200 bytes that may be under way, and the platform's own
-# bound for the place of a reset (76,800).
-ACCEPTED_WINDOW = 76_800
 MAX_TAG = (1 << 32) - 1
 # An opening that no agent admits is answered before its first copy (200 ms).
 MAX_OPENING_HOPS = 4
+# The backend server is on the same host and hands a packet back within milliseconds.
 OFFER_SECONDS = 2.0
-HALF_OPEN_SECONDS = 1.5
-CLOSED_SECONDS = 3.0
-IDLE_MARGIN_SECONDS = 5.0
-MAX_REGISTERED = 100_000
 # New flows without an answer at one slot while others wait: one at work, one queued.
 UNSERVED_PER_SLOT = 2
-# Weight of the newest half second in the mean of requests under way.
-BUSY_SMOOTHING = 0.5
-
-
-class FlowState(Enum):
-    """How far a flow is."""
-
-    HALF_OPEN = 0
-    OPEN = 1
-    CLOSED = 2
-
-
-@dataclass(slots=True)
-class PassthroughFlow:
-    """One flow of the backend server.
-
-    Attributes
-    ----------
-    first_sequence : int or None
-        Position at which the backend server began; tells its answers to an opening
-        apart from those of other servers.
-    served : bool
-        Whether the server has answered anything, or is not expected to.
-    homes : frozenset of str
-        IP addresses of the agents that have been told who owns it.
-    last_packet : bytes
-        Newest packet of the caller, sent again to ask whether the flow still lives.
-    """
-
-    state: FlowState
-    opened_at: float
-    seen_at: float
-    first_sequence: int | None = None
-    last_packet: bytes = b""
-    homes: frozenset[str] = frozenset()
-    caller_closed: bool = False
-    backend_closed: bool = False
-    busy_since: float | None = None
-    served: bool = False
-
-
-@dataclass(slots=True)
-class ToBackend:
-    """Send a datagram to the backend server."""
-
-    data: bytes
-
-
-@dataclass(slots=True)
-class ToCaller:
-    """Send a datagram to a caller."""
-
-    host: str
-    data: bytes
-
-
-@dataclass(slots=True)
-class ToPeer:
-    """Send a frame to another node."""
-
-    host: str
-    frame: PeerFrame
-
-
-PassthroughEffect = ToBackend | ToCaller | ToPeer
-Decide = Callable[..., None]
 
 
 class PassthroughAgent:
@@ -134,35 +68,27 @@
         self._board = board
         self._codec = codec
         self._decide = decide
-        self._observe = observe
         self._table = RouteTable()
         self._agents: dict[str, list[AgentEntry]] = {}
         self._out: frozenset[str] = frozenset()
-        self._flows: dict[bytes, PassthroughFlow] = {}
-        self._registered: dict[bytes, tuple[str, float]] = {}
+        self._flows = FlowTable(gate.end_flow, observe)
+        self._locations = FlowLocations(host)
         self._offers: dict[int, tuple[Forward, Segment, float]] = {}
         self._asking: dict[bytes, Forward] = {}
         self._waiting = WaitingOpenings()
-        self._unserved = 0
         self._next_tag = 1
-        self._news: dict[str, list[bytes]] = {}
-        self._running = 0
-        self._busy = 0.0
-        self._busy_area = 0.0
-        self._busy_at = 0.0
-        self._busy_from = 0.0
         self.newest: list[int] = []
         self.leaving = False
 
     @property
     def flows(self) -> dict[bytes, PassthroughFlow]:
         """Return the flows that are known."""
-        return self._flows
+        return self._flows.flows
 
     @property
     def running(self) -> int:
         """Return how many requests are under way."""
-        return self._running
+        return self._flows.running
 
     @property
     def waiting(self) -> int:
@@ -172,7 +98,7 @@
     @property
     def registered(self) -> int:
         """Return how many flows of siblings are registered here."""
-        return len(self._registered)
+        return len(self._locations)
 
     def set_table(self, table: RouteTable) -> None:
         """Put a newer version of the routes in force."""
@@ -193,8 +119,8 @@
         service = report.service if report is not None else ""
         return LoadReport(
             accepting=self._gate.refusal(service, now) is None,
-            busy=self._busy,
-            running=self._running,
+            busy=self._flows.busy,
+            running=self._flows.running,
             slots=report.slots if report is not None else 1,
             flows=self._gate.open_flows,
             newest=self.newest,
@@ -203,13 +129,7 @@
 
     def smooth_load(self, now: float) -> None:
         """Average the requests under way since the last call."""
-        self._count_busy(0, now)
-        seconds = now - self._busy_from
-        if seconds > 0:
-            mean = self._busy_area / seconds
-            self._busy += BUSY_SMOOTHING * (mean - self._busy)
-        self._busy_area = 0.0
-        self._busy_from = now
+        self._flows.smooth_load(now)
 
     def on_forward(
         self, frame: Forward, segment: Segment, now: float
@@ -236,6 +156,14 @@
             effects += self._admit(opening.frame, opening.segment, now, opening.since)
         return effects
 
+    def refuse_waiting(self, now: float) -> list[PassthroughEffect]:
+        """Refuse all openings that wait, so that their callers try elsewhere."""
+        effects: list[PassthroughEffect] = []
+        while self._waiting:
+            opening = self._waiting.take()
+            effects += self._refuse(opening.frame, opening.segment, "stopping", now)
+        return effects
+
     def _has_room_for_waiting(self) -> bool:
         """Tell whether the server can take the first request of one more flow.
 
@@ -243,7 +171,10 @@
         would make a server shed them.
         """
         report = self._gate.report
-        return report is not None and self._unserved < UNSERVED_PER_SLOT * report.slots
+        return (
+            report is not None
+            and self._flows.unserved < UNSERVED_PER_SLOT * report.slots
+        )
 
     def _take_forward(
         self, frame: Forward, segment: Segment, now: float
@@ -251,10 +182,10 @@
         if segment.opening:
             return self._on_opening(frame, segment, now)
         flow = self._flows.get(segment.flow)
-        if flow is not None and self._is_of_flow(flow, segment):
+        if flow is not None and flow.owns(segment):
             return self._deliver(frame, segment, flow, now)
         if flow is not None:
-            self._drop_flow(segment.flow)
+            self._flows.drop(segment.flow)
         return self._look_for(frame, segment, now)
 
     def on_backend(self, segment: Segment, now: float) -> list[PassthroughEffect]:
@@ -268,49 +199,33 @@
             if not segment.reset:
                 effects = self._learn(segment, now)
         else:
-            self._note_backend(segment, flow, now)
+            self._flows.note_backend(segment, flow, now)
         effects.append(ToCaller(caller_host(segment.flow), segment.data))
         return effects
 
     def on_registered(self, host: str, flows: Iterable[bytes], now: float) -> None:
         """Note which agent owns flows that this one is first in the order of."""
-        for key in flows:
-            self._registered[key] = (host, now)
-        while len(self._registered) > MAX_REGISTERED:
-            self._registered.pop(next(iter(self._registered)))
+        self._locations.take(host, flows, now)
 
     def on_restarted(self) -> list[PassthroughEffect]:
         """Ask the new backend server about each flow of the old one."""
         return [
             ToBackend(flow.last_packet)
-            for flow in self._flows.values()
+            for flow in self._flows.flows.values()
             if flow.last_packet and flow.state is FlowState.OPEN
         ]
 
     def on_backend_dead(self, reason: str) -> list[PassthroughEffect]:
         """End all flows of a backend server that certainly does not run."""
         effects: list[PassthroughEffect] = []
-        for key in list(self._flows):
+        for key in list(self._flows.flows):
             effects += self._end_lost(key, reason)
         return effects
 
     def sweep(self, now: float, max_flow_seconds: float) -> None:
         """Forget flows that are over, and offers that got no answer."""
-        idle = self._table.idle_seconds + IDLE_MARGIN_SECONDS
-        for key, flow in list(self._flows.items()):
-            quiet = now - flow.seen_at
-            limit = {
-                FlowState.HALF_OPEN: HALF_OPEN_SECONDS,
-                FlowState.OPEN: idle,
-                FlowState.CLOSED: CLOSED_SECONDS,
-            }[flow.state]
-            if quiet > limit:
-                self._drop_flow(key)
-        lasting = max_flow_seconds + IDLE_MARGIN_SECONDS
-        for key, (_, at) in list(self._registered.items()):
-            if now - at <= lasting:
-                break
-            del self._registered[key]
+        self._flows.sweep(now, self._table.idle_seconds)
+        self._locations.sweep(now, max_flow_seconds)
         for tag, (frame, segment, at) in list(self._offers.items()):
             if now - at <= OFFER_SECONDS:
                 break
@@ -320,7 +235,7 @@
 
     def take_news(self) -> list[PassthroughEffect]:
         """Return the registrations that have gathered."""
-        news, self._news = self._news, {}
+        news = self._locations.take_news()
         return [ToPeer(host, Registered(flows)) for host, flows in news.items()]
 
     def _on_opening(
@@ -344,13 +259,8 @@
     def _admit(
         self, frame: Forward, segment: Segment, now: float, since: float
     ) -> list[PassthroughEffect]:
-        if segment.flow in self._flows:
-            self._drop_flow(segment.flow)
+        self._flows.admit(segment, now)
         self._gate.admit(segment.flow, now)
-        self._flows[segment.flow] = PassthroughFlow(
-            FlowState.HALF_OPEN, now, now, last_packet=segment.data
-        )
-        self._unserved += 1
         self._decide(
             "flow_admitted",
             segment.flow,
@@ -358,7 +268,7 @@
             hops=len(frame.visited),
             version=self._table.version,
             flows=self._gate.open_flows,
-            running=self._running,
+            running=self._flows.running,
             cold=self._gate.is_cold(now),
             report_age=now - self._gate.reported_at,
             waited=now - since,
@@ -443,63 +353,20 @@
         reset = self._codec.build_reset(segment.flow, segment.acknowledged)
         return [ToCaller(caller_host(segment.flow), reset)]
 
-    def _is_of_flow(self, flow: PassthroughFlow, segment: Segment) -> bool:
-        if flow.state is not FlowState.HALF_OPEN or flow.first_sequence is None:
-            return flow.state is not FlowState.HALF_OPEN
-        progress = (segment.acknowledged - flow.first_sequence) % SEQUENCE_RANGE
-        return 0 < progress <= ACCEPTED_WINDOW
-
     def _deliver(
         self, frame: Forward, segment: Segment, flow: PassthroughFlow, now: float
     ) -> list[PassthroughEffect]:
-        flow.seen_at = now
-        flow.last_packet = segment.data
-        if not segment.opening:
-            if flow.state is FlowState.HALF_OPEN:
-                flow.state = FlowState.OPEN
-                flow.homes = frozenset()
-            if not flow.homes or frame.visited:
-                self._register(segment.flow, flow, again=bool(frame.visited))
-            self._note_caller(segment, flow, now)
+        self._flows.note_caller(segment, flow, now)
+        if not segment.opening and (not flow.homes or frame.visited):
+            self._register(segment.flow, flow, again=bool(frame.visited))
         effects: list[PassthroughEffect] = [ToBackend(segment.data)]
         if frame.report:
             owned = Owned(segment.flow, self.load_report(now))
             effects.append(ToPeer(frame.origin, owned))
         return effects
 
-    def _note_caller(self, segment: Segment, flow: PassthroughFlow, now: float) -> None:
-        if segment.size and flow.busy_since is None:
-            flow.busy_since = now
-            self._count_busy(1, now)
-        if segment.closing:
-            flow.caller_closed = True
-        if segment.reset or (flow.caller_closed and flow.backend_closed):
-            self._close(flow, now)
-
-    def _note_backend(
-        self, segment: Segment, flow: PassthroughFlow, now: float
-    ) -> None:
-        flow.seen_at = now
-        if segment.accepting:
-            if flow.state is FlowState.HALF_OPEN:
-                flow.first_sequence = segment.sequence
-            return
-        if segment.size and flow.busy_since is not None:
-            self._observe(now - flow.busy_since)
-            self._idle(flow, now)
-        if segment.size:
-            self._note_served(flow)
-        if segment.closing:
-            flow.backend_closed = True
-        if segment.reset or (flow.caller_closed and flow.backend_closed):
-            self._close(flow, now)
-
     def _learn(self, segment: Segment, now: float) -> list[PassthroughEffect]:
-        flow = PassthroughFlow(FlowState.OPEN, now, now, served=True)
-        if segment.accepting:
-            flow.state = FlowState.HALF_OPEN
-            flow.first_sequence = segment.sequence
-        self._flows[segment.flow] = flow
+        flow = self._flows.learn(segment, now)
         self._gate.add_found()
         frame = self._asking.pop(segment.flow, None)
         self._decide(
@@ -517,13 +384,11 @@
     def _look_for(
         self, frame: Forward, segment: Segment, now: float
     ) -> list[PassthroughEffect]:
-        owner = self._registered.get(segment.flow)
-        if owner is not None and owner[0] != self._host:
-            host = owner[0]
-            if host not in frame.visited:
-                visited = [*frame.visited, self._host]
-                self._board.ask(host, now)
-                return [ToPeer(host, replace_frame(frame, visited=visited))]
+        owner = self._locations.owner_of(segment.flow)
+        if owner is not None and owner not in frame.visited:
+            visited = [*frame.visited, self._host]
+            self._board.ask(owner, now)
+            return [ToPeer(owner, replace_frame(frame, visited=visited))]
         if self._host in frame.visited:
             return []
         if self._gate.has_left or self._gate.saw_start:
@@ -581,11 +446,11 @@
         if self._asking.get(segment.flow) is frame:
             del self._asking[segment.flow]
         if not segment.opening:
-            if flow is not None and self._is_of_flow(flow, original):
+            if flow is not None and flow.owns(original):
                 return []
             return self._ask_next(frame, original, now)
         if flow is not None and flow.state is FlowState.HALF_OPEN:
-            self._drop_flow(segment.flow)
+            self._flows.drop(segment.flow)
         service = self._service_of(frame, original)
         if service is None:
             return self._refuse(frame, original, "no_route", now)
@@ -597,13 +462,13 @@
         if flow is None or flow.state is not FlowState.OPEN or segment.opening:
             return []
         if flow.caller_closed or flow.backend_closed:
-            self._drop_flow(segment.flow)
+            self._flows.drop(segment.flow)
             return []
         return self._end_lost(segment.flow, "backend_restarted")
 
     def _end_lost(self, key: bytes, reason: str) -> list[PassthroughEffect]:
-        flow = self._flows[key]
-        self._drop_flow(key)
+        flow = self._flows.flows[key]
+        self._flows.drop(key)
         if flow.state is FlowState.CLOSED or not flow.last_packet:
             return []
         newest = self._codec.decode_from_caller(flow.last_packet)
@@ -612,46 +477,15 @@
         return [ToCaller(caller_host(key), reset)]
 
     def _register_all(self) -> None:
-        for key, flow in self._flows.items():
+        for key, flow in self._flows.flows.items():
             if flow.state is FlowState.OPEN:
                 self._register(key, flow)
 
     def _register(self, key: bytes, flow: PassthroughFlow, again: bool = False) -> None:
-        """Tell the agents that balancers ask first, one in each data centre."""
         service = self._table.service_of(key)
-        if service is None:
-            return
-        homes = find_homes(key, self._agents.get(service, ()))
-        for home in homes if again else homes - flow.homes:
-            if home != self._host:
-                self._news.setdefault(home, []).append(key)
-        flow.homes = homes
-
-    def _close(self, flow: PassthroughFlow, now: float) -> None:
-        self._note_served(flow)
-        self._idle(flow, now)
-        flow.state = FlowState.CLOSED
-
-    def _idle(self, flow: PassthroughFlow, now: float) -> None:
-        if flow.busy_since is not None:
-            flow.busy_since = None
-            self._count_busy(-1, now)
-
-    def _note_served(self, flow: PassthroughFlow) -> None:
-        if not flow.served:
-            flow.served = True
-            self._unserved -= 1
-
-    def _drop_flow(self, key: bytes) -> None:
-        flow = self._flows.pop(key)
-        self._note_served(flow)
-        self._idle(flow, self._busy_at)
-        self._gate.end_flow()
-
-    def _count_busy(self, change: int, now: float) -> None:
-        self._busy_area += self._running * (now - self._busy_at)
-        self._busy_at = now
-        self._running += change
+        if service is not None:
+            agents = self._agents.get(service, ())
+            self._locations.register(key, flow, agents, again)
 
 
 def replace_frame(frame: Forward, visited: list[str], service: str = "") -> Forward:
--- a/src/berylturn/connection/passthrough_router.py
+++ b/src/berylturn/connection/passthrough_router.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ..version.owners import AgentEntry, rank_agents
 from ..version.routes import RouteTable
 from .load_board import LoadBoard, choose_for_opening
-from .passthrough import PassthroughEffect, ToCaller, ToPeer
+from .passthrough_effects import Decide, PassthroughEffect, ToCaller, ToPeer
 from .peer_frames import Ended, Forward, Load, Owned
 from .segments import Segment, SegmentCodec, caller_host
 
@@ -59,7 +58,7 @@
         data_centre: str,
         board: LoadBoard,
         codec: SegmentCodec,
-        decide: Callable[..., None],
+        decide: Decide,
     ) -> None:
         self._host = host
         self._data_centre = data_centre
@@ -99,12 +98,20 @@
                 del self._used[host]
         return list(self._used)
 
-    def silent_agents(self, seconds: float, now: float) -> list[tuple[str, float]]:
-        """Return names of agents that have owed an answer for so long, and how long."""
+    def dead_agents(self, seconds: float, now: float) -> list[tuple[str, float]]:
+        """Return names of agents that have owed an answer for so long, and how long.
+
+        Nobody is called dead while most agents are silent: then it is this balancer
+        that is cut off.
+        """
+        used = self.interesting(now)
+        silent = [host for host in used if self._board.is_suspect(host, now)]
+        if 2 * len(silent) > len(used):
+            return []
         return [
-            (entry.name, silent)
-            for host, entry in self._directory.by_host.items()
-            if (silent := self._board.silent_seconds(host, now)) > seconds
+            (self._directory.by_host[host].name, away)
+            for host in silent
+            if (away := self._board.silent_seconds(host, now)) > seconds
         ]
 
     def on_caller(self, segment: Segment, now: float) -> list[PassthroughEffect]:
--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -46,7 +46,7 @@
 GATHER_SECONDS = {
     Kind.CONFIGURATION: 0.25,
     Kind.EVACUATIONS: 0.25,
-    Kind.AGENTS: 1.0,
+    Kind.AGENTS: 0.3,
 }
 
 
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -6,7 +6,8 @@
 
 from ..connection.load_board import LoadBoard
 from ..connection.opening_gate import BackendReport, GateBounds, OpeningGate
-from ..connection.passthrough import PassthroughAgent, PassthroughEffect, ToBackend
+from ..connection.passthrough import PassthroughAgent
+from ..connection.passthrough_effects import PassthroughEffect, ToBackend
 from ..connection.peer_frames import (
     Forward,
     Load,
@@ -284,6 +285,7 @@
     async def _stop(self) -> None:
         node = self._node
         self._rules.leaving = True
+        self._carry_out(self._rules.refuse_waiting(node.now()))
         self._tell(self._rules.load_report(node.now()))
         log_event(
             "stopping", flows=len(self._rules.flows), backend_left=self._gate.has_left
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -20,8 +20,9 @@
 PROBE_SECONDS = 0.5
 # A report that is older is asked for.
 REPORT_AGE_SECONDS = 1.0
-# Silence after which an agent's entry is removed; a restart takes about a second.
-DEAD_SECONDS = 10.0
+# Silence after which an agent's entry is removed. Openings avoid it long before; a cut
+# of a data centre lasts seconds.
+DEAD_SECONDS = 30.0
 # Routers notice that a node is not ready after two probes, a second; packets that are
 # under way then still arrive.
 QUIET_SECONDS = 1.5
@@ -119,7 +120,7 @@
                 if ask:
                     self._board.ask(host, now)
                 node.send(host, Probe(node.view.newest, node.sync.connected, ask))
-            for name, silent in self._rules.silent_agents(DEAD_SECONDS, now):
+            for name, silent in self._rules.dead_agents(DEAD_SECONDS, now):
                 node.tasks.spawn(self._remove(name, silent))
             node.metrics.gauge("flow_hints", self._rules.hints)
 
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -6,7 +6,7 @@
 import signal
 from collections.abc import Callable
 
-from ..connection.passthrough import PassthroughEffect, ToCaller, ToPeer
+from ..connection.passthrough_effects import PassthroughEffect, ToCaller, ToPeer
 from ..connection.peer_frames import PeerFrame, decode_frame, encode_frame
 from ..connection.segments import SegmentCodec, describe_flow
 from ..errors import PacketError, PlatformError
@@ -195,6 +195,7 @@
                 revision=self.view.snapshots[kind].newest,
             )
             self.out = out
+        self.metrics.gauge(f"objects.{kind}", len(self.view.snapshots[kind].objects))
         self._on_change(kind)
 
     def _take_configuration(self) -> None:
--- /dev/null
+++ b/src/berylturn_standins/opaque_demo.py
@@ -0,0 +1,54 @@
+"""Play calm seconds of passthrough flows beside the platform's stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+
+import fire
+
+from .opaque_deployment import SERVICE_ADDRESS, OpaqueDeployment
+
+BALANCERS = {"front-a": "patan-hall", "front-b": "thamel-bar"}
+AGENTS = {
+    "side-a1": ("patan-hall", "desk"),
+    "side-a2": ("patan-hall", "desk"),
+    "side-b1": ("thamel-bar", "desk"),
+}
+FLOWS = 20
+PAUSE_SECONDS = 0.2
+
+
+async def play(seconds: float) -> int:
+    """Send requests on long flows and return how many were not answered."""
+    asked = missed = 0
+    async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
+        opened = [await deployment.callers.open(SERVICE_ADDRESS) for _ in range(FLOWS)]
+        flows = [flow for flow in opened if flow is not None]
+        missed += FLOWS - len(flows)
+        until = time.monotonic() + seconds
+        half = time.monotonic() + seconds / 2
+        stopped = False
+        while time.monotonic() < until:
+            answers = await asyncio.gather(*(flow.ask() for flow in flows))
+            asked += len(answers)
+            missed += answers.count(False)
+            print(f"\r{asked} requests on {len(flows)} flows", end="", flush=True)
+            if not stopped and time.monotonic() > half:
+                await deployment.stop("front-a")
+                await deployment.until(lambda: len(deployment.router.ready) == 1)
+                stopped = True
+            await asyncio.sleep(PAUSE_SECONDS)
+        served = {name: b.answered for name, b in deployment.backends.items()}
+    print(f"\nanswered by {served}; one balancer stopped on the way; {missed} missed")
+    return missed
+
+
+def main(seconds: float = 10.0) -> None:
+    """Run the demo; exit with 1 when a request was not answered."""
+    sys.exit(1 if asyncio.run(play(seconds)) else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/src/berylturn_standins/opaque_deployment.py
+++ b/src/berylturn_standins/opaque_deployment.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import tempfile
+import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -19,6 +20,8 @@
 PLATFORM_ADDRESS = ("127.9.0.1", 18169)
 SERVICE_ADDRESS = ("198.18.0.1", 443)
 BEAT_SECONDS = 0.3
+# Daemons write their lines every 0.1 s.
+LOG_FLUSH_SECONDS = 0.3
 POLL_SECONDS = 0.02
 START_SECONDS = 20.0
 STOP_SECONDS = 10.0
@@ -79,6 +82,8 @@
         await self.until(
             lambda: self.platform.names("berylturn-agents") == set(self.agents)
         )
+        for name in [*self.balancers, *self.agents]:
+            await self._until_directory_known(name)
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -144,6 +149,18 @@
         """Return what a daemon has logged."""
         return (Path(self._folder.name) / f"{name}.log").read_text()
 
+    def explain(self) -> str:
+        """Return the lines of all daemons that tell of trouble, newest last."""
+        words = ("refused", "not_found", "lost", "waits", "failed", "dropped")
+        time.sleep(LOG_FLUSH_SECONDS)
+        lines = [
+            line
+            for name in self.processes
+            for line in self.log_of(name).splitlines()
+            if any(word in line for word in words)
+        ]
+        return "\n".join(sorted(lines)[-40:])
+
     async def until(
         self, holds: Callable[[], bool], seconds: float = START_SECONDS
     ) -> None:
@@ -162,6 +179,12 @@
         async with self.http.get(url) as answer:
             return await answer.text()
 
+    async def _until_directory_known(self, name: str) -> None:
+        wanted = f"berylturn_objects_agents {len(self.agents)}\n"
+        async with asyncio.timeout(START_SECONDS):
+            while wanted not in await self.read_metrics(name):
+                await asyncio.sleep(POLL_SECONDS)
+
     async def _beat(self) -> None:
         while True:
             beats = [backend.beat(self.http) for backend in self.backends.values()]
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -12,14 +12,16 @@
 
 from berylturn.connection.load_board import LoadBoard
 from berylturn.connection.opening_gate import BackendReport, GateBounds, OpeningGate
-from berylturn.connection.passthrough import (
-    PassthroughAgent,
-    ToBackend,
-    ToCaller,
-    ToPeer,
-)
+from berylturn.connection.passthrough import PassthroughAgent
+from berylturn.connection.passthrough_effects import ToBackend, ToCaller, ToPeer
 from berylturn.connection.passthrough_router import Directory, PassthroughRouter
-from berylturn.connection.peer_frames import Forward, Load, Owned, Registered
+from berylturn.connection.peer_frames import (
+    Forward,
+    Load,
+    LoadReport,
+    Owned,
+    Registered,
+)
 from berylturn.platform import packets
 from berylturn.version.owners import AgentEntry
 from berylturn.version.routes import Route, RouteTable, ServiceLimits, ServiceShare
@@ -194,6 +196,15 @@
         """Let an agent look at the openings that wait."""
         self._run(name, self.agents[name].release(self.now))
 
+    def stop_agent(self, name: str) -> None:
+        """Let an agent do what it does at SIGTERM."""
+        self._run(name, self.agents[name].refuse_waiting(self.now))
+
+    def tell_load(self, balancer: str, name: str, busy: float) -> None:
+        """Tell a balancer how busy an agent's server is."""
+        load = LoadReport(True, busy, 0, 3, 0, [])
+        self.routers[balancer].on_frame(name, Load(load), self.now)
+
     def change_table(self, table: RouteTable) -> None:
         """Put a table in force on all nodes."""
         self.table = table = table.after(self.table)
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -6,7 +6,12 @@
 
 from nose2.tools import params
 
-from .passthrough_mesh import Mesh, flow_key, make_table
+from berylturn.connection.segments import describe_flow
+from berylturn.errors import PacketError
+from berylturn.platform import packets
+from berylturn.version.snapshots import KindSnapshot, ObjectChange, StoredObject
+
+from .passthrough_mesh import ACK, Mesh, caller_packet, flow_key, make_table
 
 SEVEN = {
     "a1": ("dc-a", "desk"),
@@ -206,3 +211,146 @@
         mesh.report("a1")
         mesh.release("a1")
         self.assertEqual(1, mesh.backends["a1"].openings)
+
+    def test_stopping_agent_refuses_what_waits(self) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, {"front-a": "dc-a"})
+        mesh.start_agent("a1", reported=False)
+        mesh.open_flow("front-a", flow_key(1))
+        self.assertFalse(mesh.was_reset(flow_key(1)))
+        mesh.stop_agent("a1")
+        self.assertTrue(mesh.was_reset(flow_key(1)))
+
+
+class TestGate(unittest.TestCase):
+    """Close the gate on what a backend server says or does not say."""
+
+    @params(
+        ("ready", {}, None),
+        ("draining", {"draining": True}, "draining"),
+        ("of another service", {"service": "room"}, "other_service"),
+        ("older report", {"sequence": 0, "draining": True}, None),
+        ("earlier start", {"started_ms": 0, "draining": True}, None),
+    )
+    def test_report(self, _: str, changes: dict, refusal: str | None) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, {})
+        mesh.report("a1", **changes)
+        self.assertEqual(refusal, mesh.gates["a1"].refusal("desk", mesh.now))
+
+    def test_refused_port_and_next_report(self) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, {})
+        gate = mesh.gates["a1"]
+        gate.mark_down(True)
+        self.assertEqual("down", gate.refusal("desk", mesh.now))
+        mesh.report("a1", started_ms=2)
+        self.assertIsNone(gate.refusal("desk", mesh.now))
+
+    def test_clock_set_back_before_a_restart(self) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, {})
+        gate = mesh.gates["a1"]
+        mesh.report("a1", started_ms=5000)
+        mesh.now += 2.0
+        mesh.report("a1", started_ms=3000, draining=True)
+        self.assertIsNone(gate.refusal("desk", mesh.now))
+        mesh.now += 1.2
+        mesh.report("a1", started_ms=3000, draining=True)
+        self.assertEqual("draining", gate.refusal("desk", mesh.now))
+
+    @params((False, 0.0, None), (True, 0.0, "data_centre_out"))
+    def test_evacuation(self, out: bool, after: float, refusal: str | None) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, {})
+        gate = mesh.gates["a1"]
+        gate.set_evacuated(out, mesh.now)
+        self.assertEqual(refusal, gate.refusal("desk", mesh.now + after))
+        gate.set_evacuated(False, mesh.now)
+        self.assertEqual(out, gate.is_cold(mesh.now + 1.9))
+
+    @params(("silent", 3.1, "silent"), ("late", 2.9, None))
+    def test_missing_reports(self, _: str, after: float, refusal: str | None) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, {})
+        self.assertEqual(refusal, mesh.gates["a1"].refusal("desk", mesh.now + after))
+
+
+class TestDeadAgents(unittest.TestCase):
+    """Call an agent dead only when it is not this balancer that is cut off."""
+
+    @params(("one host lost", {"a1"}, ["a1"]), ("balancer cut off", {"a1", "a2"}, []))
+    def test_removal(self, _: str, lost: set[str], dead: list[str]) -> None:
+        agents = {"a1": ("dc-a", "desk"), "a2": ("dc-a", "desk")}
+        mesh = Mesh(agents, {"front-a": "dc-a"})
+        mesh.down = lost
+        router = mesh.routers["front-a"]
+        for number in range(20):
+            mesh.open_flow("front-a", flow_key(number))
+        mesh.now += 9.0
+        for number in range(20, 30):
+            mesh.open_flow("front-a", flow_key(number))
+        found = router.dead_agents(8.0, mesh.now)
+        self.assertEqual(dead, [name for name, _ in found])
+
+
+class TestPlacement(unittest.TestCase):
+    """Place openings by load where hash shares would fill up a slow server."""
+
+    @params(("no load known", {}, {"a1", "a2"}), ("one full", {"a1": 3.0}, {"a2"}))
+    def test_bounded_load(self, _: str, busy: dict, owners: set[str]) -> None:
+        agents = {
+            "a1": ("dc-a", "desk"),
+            "a2": ("dc-a", "desk"),
+            "b1": ("dc-b", "desk"),
+        }
+        mesh = Mesh(agents, {"front-a": "dc-a"})
+        for name, value in busy.items():
+            mesh.tell_load("front-a", name, value)
+        placed = {mesh.open_flow("front-a", flow_key(n)) for n in range(6)}
+        self.assertEqual(owners, placed)
+
+    def test_all_near_ones_full(self) -> None:
+        agents = {"a1": ("dc-a", "desk"), "b1": ("dc-b", "desk")}
+        mesh = Mesh(agents, {"front-a": "dc-a"})
+        mesh.tell_load("front-a", "a1", 3.0)
+        self.assertEqual("b1", mesh.open_flow("front-a", flow_key(1)))
+
+
+class TestSnapshots(unittest.TestCase):
+    """Views move forward whatever the order of answers."""
+
+    @params(
+        ("later snapshot", [(5, ["x"]), (7, ["y"])], {"y"}),
+        ("stale snapshot", [(7, ["y"]), (5, ["x"])], {"y"}),
+        ("removed", [(5, ["x", "y"]), (9, [])], set()),
+    )
+    def test_order(self, _: str, answers: list, names: set[str]) -> None:
+        snapshot = KindSnapshot()
+        for revision, objects in answers:
+            snapshot.replace(
+                revision, [StoredObject(name, revision, b"{}") for name in objects]
+            )
+        self.assertEqual(names, set(snapshot.objects))
+
+    def test_change_older_than_what_a_peer_gave(self) -> None:
+        snapshot = KindSnapshot()
+        snapshot.replace(9, [])
+        item = StoredObject("x", 4, b"{}")
+        self.assertFalse(snapshot.apply(8, [ObjectChange(item, removed=False)]))
+        self.assertEqual({}, snapshot.objects)
+
+
+class TestPackets(unittest.TestCase):
+    """Refuse datagrams that are not what they state."""
+
+    @params(b"", b"x" * 30, caller_packet(flow_key(1), ACK, body=b"abc")[:-1])
+    def test_malformed(self, data: bytes) -> None:
+        with self.assertRaises(PacketError):
+            packets.decode_from_caller(data)
+
+    def test_published_example(self) -> None:
+        syn = bytes.fromhex(
+            "11223344000000000000000000004001bb64400007c61200019c41a1b2c3d5"
+        )
+        segment = packets.decode_from_caller(syn)
+        self.assertTrue(segment.opening)
+        self.assertEqual("100.64.0.7:40001>198.18.0.1:443", describe_flow(segment.flow))
+        reset = "0000000000000000000000000000089c41c61200016440000701bb00000000"
+        self.assertEqual(reset, packets.build_reset(segment.flow, 0).hex())
+        tagged = packets.write_tag(syn, 77)
+        self.assertEqual(77, packets.decode_from_caller(tagged).tag)
--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -35,8 +35,8 @@
 async def open_flows(deployment: OpaqueDeployment) -> list:
     """Open some flows, each with one request."""
     flows = [await deployment.callers.open(SERVICE_ADDRESS) for _ in range(FLOWS)]
-    assert all(flows), "a flow was refused"
-    assert all([await flow.ask() for flow in flows])
+    assert all(flows), deployment.explain()
+    assert all([await flow.ask() for flow in flows]), deployment.explain()
     return flows
 
 
