--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -102,6 +102,8 @@
 
     Attributes
     ----------
+    data_centre : str
+        Where the balancer is.
     newest : list of int
         Newest revision of each kind of object that the balancer knows.
     following : bool
@@ -110,6 +112,7 @@
         Whether a load report is wanted.
     """
 
+    data_centre: str
     newest: list[int]
     following: bool
     ask: bool
--- a/src/berylturn/daemon.py
+++ b/src/berylturn/daemon.py
@@ -73,7 +73,8 @@
     )
 
     values = read_settings(file, guess_model(read_sections(file)))
-    make_key_ring(values.keys)
+    if hasattr(values, "keys"):
+        make_key_ring(values.keys)
     print("\n".join(explain_settings(values)))
 
 
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from ..connection.load_board import LoadBoard
 from ..connection.opening_gate import BackendReport, GateBounds, OpeningGate
@@ -11,6 +14,7 @@
 from ..connection.peer_frames import (
     Forward,
     Load,
+    LoadReport,
     Owned,
     PeerFrame,
     Probe,
@@ -27,6 +31,8 @@
 from .sockets import Address, open_udp
 
 REPORT_SECONDS = 0.5
+# Peers in other data centres hear every so many reports; bytes between are dear.
+FAR_PERIOD = 2
 # Registrations gather for a moment, so that a crowd of new flows is one frame.
 NEWS_SECONDS = 0.02
 SWEEP_SECONDS = 1.0
@@ -68,7 +74,7 @@
         )
         self._keeper = EntryKeeper(node.settings.node.name, node.view, node.store)
         self._backend: asyncio.DatagramTransport | None = None
-        self._balancers: dict[str, float] = {}
+        self._balancers: dict[str, _Balancer] = {}
         self._siblings: list[AgentEntry] = []
         self._told_accepting: bool | None = None
         self._news_due = False
@@ -173,7 +179,7 @@
             self._board.hear(host, frame.load, now)
             self._node.sync.note_peer(host, frame.load.newest)
         elif type(frame) is Probe:
-            self._note_balancer(host, now)
+            self._note_balancer(host, frame.data_centre, now)
             if frame.ask:
                 self._node.send(host, Load(self._rules.load_report(now)))
             self._node.sync.note_peer(host, frame.newest, frame.following)
@@ -186,14 +192,14 @@
         except PacketError as error:
             self._node.drop("forwarded", error)
             return
-        self._note_balancer(frame.origin, now)
+        self._note_balancer(frame.origin, frame.data_centre, now)
         if frame.version > self._node.table.version:
             self._node.sync.pull_from(frame.origin)
         self._carry_out(self._rules.on_forward(frame, segment, now))
 
-    def _note_balancer(self, host: str, now: float) -> None:
+    def _note_balancer(self, host: str, data_centre: str, now: float) -> None:
         self._balancers.pop(host, None)
-        self._balancers[host] = now
+        self._balancers[host] = _Balancer(data_centre, now)
         if len(self._balancers) > MAX_BALANCERS:
             del self._balancers[next(iter(self._balancers))]
 
@@ -252,26 +258,28 @@
     def _tell_if_changed(self) -> None:
         load = self._rules.load_report(self._node.now())
         if load.accepting != self._told_accepting:
-            self._tell(load)
+            self._tell(load, far=True)
 
-    def _tell(self, load: object) -> None:
+    def _tell(self, load: LoadReport, far: bool) -> None:
         self._told_accepting = load.accepting
+        own = self._node.settings.node.data_centre
+        peers = [(sibling.host, sibling.data_centre) for sibling in self._siblings]
+        peers += [(host, known.data_centre) for host, known in self._balancers.items()]
         frame = Load(load)
-        for sibling in self._siblings:
-            self._node.send(sibling.host, frame)
-        for host in self._balancers:
-            self._node.send(host, frame)
+        for host, data_centre in peers:
+            if far or data_centre == own:
+                self._node.send(host, frame)
 
     async def _report(self) -> None:
         node = self._node
-        while True:
+        for turn in itertools.count():
             await asyncio.sleep(REPORT_SECONDS)
             now = node.now()
             self._rules.smooth_load(now)
-            for host, at in list(self._balancers.items()):
-                if now - at > BALANCER_SECONDS:
+            for host, known in list(self._balancers.items()):
+                if now - known.heard_at > BALANCER_SECONDS:
                     del self._balancers[host]
-            self._tell(self._rules.load_report(now))
+            self._tell(self._rules.load_report(now), far=turn % FAR_PERIOD == 0)
             node.metrics.gauge("flows", len(self._rules.flows))
             node.metrics.gauge("registered", self._rules.registered)
             node.metrics.gauge("running", self._rules.running)
@@ -286,7 +294,7 @@
         node = self._node
         self._rules.leaving = True
         self._carry_out(self._rules.refuse_waiting(node.now()))
-        self._tell(self._rules.load_report(node.now()))
+        self._tell(self._rules.load_report(node.now()), far=True)
         log_event(
             "stopping", flows=len(self._rules.flows), backend_left=self._gate.has_left
         )
@@ -299,8 +307,14 @@
         await node.close()
 
 
+@dataclass(frozen=True, slots=True)
+class _Balancer:
+    data_centre: str
+    heard_at: float
+
+
 class _BackendSocket(asyncio.DatagramProtocol):
-    def __init__(self, on_refused) -> None:
+    def __init__(self, on_refused: Callable[[Exception], None]) -> None:
         self._on_refused = on_refused
 
     def error_received(self, exc: Exception) -> None:
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -17,9 +17,12 @@
 from .passthrough_node import PassthroughNode
 from .sockets import Address
 
-PROBE_SECONDS = 0.5
-# A report that is older is asked for.
-REPORT_AGE_SECONDS = 1.0
+# Agents follow balancers that confirm what they know once a second.
+PROBE_SECONDS = 1.0
+# A report that is older is asked for; far agents report once a second.
+REPORT_AGE_SECONDS = 1.6
+# A stopping balancer looks for packets this often.
+QUIET_CHECK_SECONDS = 0.25
 # Silence after which an agent's entry is removed. Openings avoid it long before; a cut
 # of a data centre lasts seconds.
 DEAD_SECONDS = 30.0
@@ -80,7 +83,7 @@
         stop_at = node.now() + grace
         self._last_packet = node.now()
         while node.now() < min(stop_at, self._last_packet + QUIET_SECONDS):
-            await asyncio.sleep(PROBE_SECONDS / 2)
+            await asyncio.sleep(QUIET_CHECK_SECONDS)
 
     def _on_caller(self, data: bytes, address: Address) -> None:
         node = self._node
@@ -111,6 +114,7 @@
 
     async def _probe(self) -> None:
         node = self._node
+        centre = node.settings.node.data_centre
         while True:
             await asyncio.sleep(PROBE_SECONDS)
             now = node.now()
@@ -119,7 +123,9 @@
                 ask = age is None or age > REPORT_AGE_SECONDS
                 if ask:
                     self._board.ask(host, now)
-                node.send(host, Probe(node.view.newest, node.sync.connected, ask))
+                node.send(
+                    host, Probe(centre, node.view.newest, node.sync.connected, ask)
+                )
             for name, silent in self._rules.dead_agents(DEAD_SECONDS, now):
                 node.tasks.spawn(self._remove(name, silent))
             node.metrics.gauge("flow_hints", self._rules.hints)
