Watch less often while changes of the directory go on

The pause before the next watch doubles from 0.25 s to 1 s (0.5 s for configurations) while changes follow one another.

--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -41,13 +41,17 @@
 
 
 KINDS = tuple(Kind)
-# Pause before the next watch after a change, so that changes in quick succession cost
-# one call a node. A single change is seen at once; peers tell of later ones meanwhile.
-GATHER_SECONDS = {
-    Kind.CONFIGURATION: 0.25,
-    Kind.EVACUATIONS: 0.25,
-    Kind.AGENTS: 0.3,
+# Pause before the next watch after a change, doubled while changes go on, so that
+# changes in quick succession cost few calls a node. A single change is seen at once, and
+# peers tell of later ones meanwhile.
+FIRST_GATHER_SECONDS = 0.25
+LONGEST_GATHER_SECONDS = {
+    Kind.CONFIGURATION: 0.5,
+    Kind.EVACUATIONS: 0.5,
+    Kind.AGENTS: 1.0,
 }
+# A watch that waited this long ends a succession of changes.
+QUIET_WATCH_SECONDS = 2.0
 
 
 class ObjectStore(Protocol):
@@ -225,6 +229,7 @@
         pause = FIRST_PAUSE_SECONDS
         lost_at: float | None = None
         listed = False
+        gather = FIRST_GATHER_SECONDS
         while True:
             try:
                 if not listed:
@@ -239,11 +244,15 @@
                     await asyncio.sleep(RELAY_CHECK_SECONDS)
                     continue
                 position = self._view.snapshots[kind].at_revision
+                asked_at = self._clock.monotonic()
                 revision, changes = await self._store.watch_objects(kind, position)
                 self._view.apply(kind, revision, changes)
                 pause = FIRST_PAUSE_SECONDS
+                if self._clock.monotonic() - asked_at > QUIET_WATCH_SECONDS:
+                    gather = FIRST_GATHER_SECONDS
                 if changes:
-                    await asyncio.sleep(GATHER_SECONDS[kind])
+                    await asyncio.sleep(gather)
+                    gather = min(2 * gather, LONGEST_GATHER_SECONDS[kind])
             except WatchExpired:
                 log_event("watch_expired", kind=kind, revision=position)
                 listed = False
