--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LOSS ?= 0
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test lint format setup measure measure-all queue-orders imbalance-floor slopes
+.PHONY: demo test lint format setup measure measure-all queue-orders imbalance-floor slopes passthrough-slopes
 
 setup: $(STAMP)
 
@@ -47,3 +47,6 @@
 
 slopes: setup
 	$(BIN)/python -m bench.slopes
+
+passthrough-slopes: setup
+	$(BIN)/python -m bench.passthrough_slopes
--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -42,8 +42,8 @@
 
 KINDS = tuple(Kind)
 # Pause before the next watch after a change, doubled while changes go on, so that
-# changes in quick succession cost few calls a node. A single change is seen at once, and
-# peers tell of later ones meanwhile.
+# changes in quick succession cost few calls a node. A single change is seen at once,
+# and peers tell of later ones meanwhile.
 FIRST_GATHER_SECONDS = 0.25
 LONGEST_GATHER_SECONDS = {
     Kind.CONFIGURATION: 0.5,
