--- a/src/berylturn/cli.py
+++ b/src/berylturn/cli.py
@@ -12,7 +12,13 @@
 
 import fire
 
-from .errors import BerylturnError, ObjectNotFound, SelectorError, SettingsError
+from .errors import (
+    BerylturnError,
+    ObjectNotFound,
+    PlatformUnavailable,
+    SelectorError,
+    SettingsError,
+)
 from .process.claims import claim_address, list_claims, release_claims
 from .process.control import (
     ControlError,
@@ -22,9 +28,11 @@
     StatusRequest,
     call_control,
 )
+from .process.http_client import HttpConnection
+from .process.object_view import STATE_PATH
 from .process.operator_tool import OperatorTool
 from .process.platform import current_version
-from .process.settings import TlsSection
+from .process.settings import TlsSection, parse_address
 from .version.selectors import (
     DATA_CENTRE_PREFIX,
     DATA_CENTRE_STATES,
@@ -39,6 +47,7 @@
 EXIT_FAILED = 1
 EXIT_CONFLICT = 2
 EXIT_NOT_IN_FORCE = 3
+STATE_SECONDS = 3.0
 LABEL_STATES = {SERVER_PREFIX: SERVER_STATES, DATA_CENTRE_PREFIX: DATA_CENTRE_STATES}
 
 
@@ -97,6 +106,43 @@
     _run(_explain(OperatorTool(platform, json, _tls(tls)), service))
 
 
+def inspect_daemon(address, json=False):
+    """Show view, flows, load and gate of a daemon for flows without a token.
+
+    Parameters
+    ----------
+    address : str
+        IP:PORT of its peer port.
+    json : bool
+        Whether to print JSON text as it came.
+    """
+    try:
+        target = parse_address(address)
+    except ValueError as error:
+        raise SettingsError(f"{error}; name a daemon's peer port") from None
+    print(asyncio.run(_read_state(target, json)))
+
+
+async def _read_state(address: tuple[str, int], as_json: bool) -> str:
+    connection = HttpConnection(address)
+    try:
+        answer = await connection.request("GET", STATE_PATH, seconds=STATE_SECONDS)
+    finally:
+        connection.close()
+    if answer.status != 200:
+        raise PlatformUnavailable(
+            f"{address[0]}:{address[1]} answers {answer.status}; name a peer port"
+        )
+    if as_json:
+        return answer.body.decode()
+    state = json.loads(answer.body)
+    return "\n".join(f"{name:18} {_format_state(v)}" for name, v in state.items())
+
+
+def _format_state(value: object) -> str:
+    return value if isinstance(value, str) else json.dumps(value)
+
+
 async def _change_labels(
     tool: OperatorTool, target: str, pairs: dict[str, str], removed: tuple, wait: bool
 ) -> None:
@@ -307,6 +353,7 @@
         "selector": SelectorCommands,
         "status": show_status,
         "explain": explain_service,
+        "inspect": inspect_daemon,
     }
     statuses = {"VersionConflict": EXIT_CONFLICT, "NotInForce": EXIT_NOT_IN_FORCE}
     try:
--- a/src/berylturn/connection/load_board.py
+++ b/src/berylturn/connection/load_board.py
@@ -91,6 +91,18 @@
             return None
         return now - peer.reported_at
 
+    def describe(self, now: float) -> dict[str, dict[str, object]]:
+        """Return what is known of each agent, by IP address."""
+        return {
+            host: {
+                "accepts": self.accepts(host, now),
+                "pressure": round(self.pressure(host, now), 3),
+                "report_age": self.age_of(host, now),
+                "suspect": self.is_suspect(host, now),
+            }
+            for host in self._peers
+        }
+
     def accepts(self, host: str, now: float) -> bool:
         """Tell whether an agent may admit an opening, as far as is known."""
         if self.is_suspect(host, now):
--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -30,6 +30,7 @@
 # Pulls that frames of peers may cause.
 PULL_GAP_SECONDS = 0.3
 VIEW_PATH = "/view"
+STATE_PATH = "/state"
 
 
 class Kind(StrEnum):
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -92,6 +92,7 @@
             remote_addr=section.address,
         )
         node.known_peers = lambda: [*self._balancers, *(s.host for s in self._siblings)]
+        node.describe = self._describe
         await node.open(
             self._on_packet, self._on_frame, self._on_change, heartbeats, readiness
         )
@@ -151,6 +152,23 @@
         self._keeper.want(entry)
         self._set_directory()
 
+    def _describe(self) -> dict[str, object]:
+        now = self._node.now()
+        report = self._gate.report
+        service = report.service if report is not None else ""
+        return {
+            "role": "agent",
+            "backend": report,
+            "report_age": round(now - self._gate.reported_at, 3),
+            "refuses": self._gate.refusal(service, now),
+            "cold": self._gate.is_cold(now),
+            "flows": len(self._rules.flows),
+            "running": self._rules.running,
+            "waiting": self._rules.waiting,
+            "registered": self._rules.registered,
+            "load": self._board.describe(now),
+        }
+
     def _on_packet(self, data: bytes, address: Address) -> None:
         # Callers' packets come through balancers; nothing is expected here.
         self._node.metrics.count("dropped.unexpected")
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -66,7 +66,8 @@
     async def run(self, heartbeats: Handler, readiness: Handler) -> None:
         """Serve until SIGTERM, then until packets go elsewhere."""
         node = self._node
-        node.known_peers = lambda: list(self._directory_hosts())
+        node.known_peers = self._directory_hosts
+        node.describe = self._describe
         await node.open(
             self._on_caller, self._on_frame, self._on_change, heartbeats, readiness
         )
@@ -109,8 +110,18 @@
             directory = read_directory(node.view.snapshots[Kind.AGENTS])
             self._rules.set_directory(directory, node.out)
 
+    def _describe(self) -> dict[str, object]:
+        now = self._node.now()
+        return {
+            "role": "balancer",
+            "ready": self._was_ready,
+            "stopping": self._stopping,
+            "hints": self._rules.hints,
+            "load": self._board.describe(now),
+        }
+
     def _directory_hosts(self) -> list[str]:
-        return list(self._rules.interesting(self._node.now()))
+        return self._rules.interesting(self._node.now())
 
     async def _probe(self) -> None:
         node = self._node
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -6,6 +6,8 @@
 import signal
 from collections.abc import Callable
 
+import msgspec
+
 from ..connection.passthrough_effects import PassthroughEffect, ToCaller, ToPeer
 from ..connection.peer_frames import PeerFrame, decode_frame, encode_frame
 from ..connection.segments import SegmentCodec, describe_flow
@@ -15,7 +17,14 @@
 from .http_server import Handler, HttpReply, HttpRequest, serve_http
 from .logs import BoundedLog, LogWriter, log_event, log_warning
 from .metrics import Metrics
-from .object_view import VIEW_PATH, Kind, ObjectStore, ObjectView, ViewSync
+from .object_view import (
+    STATE_PATH,
+    VIEW_PATH,
+    Kind,
+    ObjectStore,
+    ObjectView,
+    ViewSync,
+)
 from .settings import PassthroughAgentSettings, PassthroughBalancerSettings
 from .sockets import Address, open_udp
 from .tasks import TaskGroup
@@ -87,6 +96,8 @@
             relayed,
         )
         self.known_peers: Callable[[], list[str]] = list
+        # What the command-line tool shows of this kind of daemon.
+        self.describe: Callable[[], dict[str, object]] = dict
 
     @property
     def host(self) -> str:
@@ -227,9 +238,26 @@
         return [host for host in peers if host != self.host]
 
     def _serve_peer(self, request: HttpRequest) -> HttpReply:
-        if request.path != VIEW_PATH:
-            return HttpReply(404)
-        return HttpReply(200, self.view.export(), "application/msgpack")
+        if request.path == VIEW_PATH:
+            return HttpReply(200, self.view.export(), "application/msgpack")
+        if request.path == STATE_PATH:
+            return HttpReply(200, msgspec.json.encode(self._describe_all()))
+        return HttpReply(404)
+
+    def _describe_all(self) -> dict[str, object]:
+        snapshots = self.view.snapshots
+        return {
+            "node": self.settings.node.name,
+            "data_centre": self.settings.node.data_centre,
+            "up_seconds": round(self.now() - self.started, 3),
+            "configuration": self.table.version,
+            "routes": len(self.table.routes),
+            "out": sorted(self.out),
+            "follows_platform": self.sync.connected,
+            "revisions": {kind: held.at_revision for kind, held in snapshots.items()},
+            "agents": sorted(snapshots[Kind.AGENTS].objects),
+            **self.describe(),
+        }
 
     def _serve_metrics(self, request: HttpRequest) -> HttpReply:
         if request.path != METRICS_PATH:
--- a/src/berylturn_standins/opaque_deployment.py
+++ b/src/berylturn_standins/opaque_deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import sys
@@ -179,6 +180,20 @@
         async with self.http.get(url) as answer:
             return await answer.text()
 
+    async def inspect(self, name: str) -> dict:
+        """Return what the command-line tool prints of a daemon as JSON."""
+        tool = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "berylturn.cli",
+            "inspect",
+            f"{self.hosts[name]}:{self.ports.peers}",
+            "--json",
+            stdout=asyncio.subprocess.PIPE,
+        )
+        output, _ = await asyncio.wait_for(tool.communicate(), START_SECONDS)
+        return json.loads(output)
+
     async def _until_directory_known(self, name: str) -> None:
         wanted = f"berylturn_objects_agents {len(self.agents)}\n"
         async with asyncio.timeout(START_SECONDS):
--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -86,6 +86,21 @@
             self.assertIn("berylturn_flow_admitted_total", page)
             self.assertIn("berylturn_response_seconds_bucket", page)
 
+    @run_async
+    async def test_tool_shows_a_daemon(self) -> None:
+        async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
+            await open_flows(deployment)
+            agent = await deployment.inspect("side-a1")
+            self.assertEqual("agent", agent["role"])
+            self.assertEqual(1, agent["configuration"])
+            self.assertEqual("desk", agent["backend"]["service"])
+            self.assertIsNone(agent["refuses"])
+            balancer = await deployment.inspect("front-a")
+            self.assertEqual(sorted(AGENTS), balancer["agents"])
+            self.assertTrue(balancer["ready"])
+            flows = [(await deployment.inspect(name))["flows"] for name in AGENTS]
+            self.assertEqual(FLOWS, sum(flows))
+
     @params("busy", "many", "reset", "silent")
     @run_async
     async def test_node_starts_while_the_platform_refuses_it(self, mode: str) -> None:
