Split openings and the search from the agent's rules

On the way: an opening that waits is passed on or refused at once when the server will not take it any more (it waited 1.15 s for nothing); the data centres that are out were lost in the split and a new test found it.

--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -135,3 +135,16 @@
         return _decoder.decode(data)
     except msgspec.DecodeError as error:
         raise PacketError(f"unreadable frame: {error}") from error
+
+
+def forward_on(frame: Forward, visited: list[str], service: str = "") -> Forward:
+    """Return the frame for the next agent, which answers the balancer itself."""
+    return Forward(
+        frame.origin,
+        frame.data_centre,
+        frame.version,
+        service or frame.service,
+        visited,
+        True,
+        frame.data,
+    )
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -243,7 +243,7 @@
 
     def _on_change(self, kind: Kind) -> None:
         node = self._node
-        self._rules.newest = node.view.newest
+        self._rules.set_newest(node.view.newest)
         if kind is Kind.CONFIGURATION:
             self._rules.set_table(node.table)
             report = self._gate.report
@@ -310,8 +310,7 @@
 
     async def _stop(self) -> None:
         node = self._node
-        self._rules.leaving = True
-        self._carry_out(self._rules.refuse_waiting(node.now()))
+        self._carry_out(self._rules.stop(node.now()))
         self._tell(self._rules.load_report(node.now()), far=True)
         log_event(
             "stopping", flows=len(self._rules.flows), backend_left=self._gate.has_left
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -198,7 +198,7 @@
 
     def stop_agent(self, name: str) -> None:
         """Let an agent do what it does at SIGTERM."""
-        self._run(name, self.agents[name].refuse_waiting(self.now))
+        self._run(name, self.agents[name].stop(self.now))
 
     def tell_load(self, balancer: str, name: str, busy: float) -> None:
         """Tell a balancer how busy an agent's server is."""
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -212,6 +212,22 @@
         mesh.release("a1")
         self.assertEqual(1, mesh.backends["a1"].openings)
 
+    @params(
+        ("draining", {"draining": True}),
+        ("serves another service", {"service": "room"}),
+    )
+    def test_waiting_ends_when_the_server_will_not_take_it(
+        self, _: str, change: dict
+    ) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, {"front-a": "dc-a"})
+        mesh.start_agent("a1", reported=False)
+        mesh.open_flow("front-a", flow_key(1))
+        mesh.now += 0.1
+        mesh.report("a1", **change)
+        mesh.release("a1")
+        self.assertTrue(mesh.was_reset(flow_key(1)))
+        self.assertEqual(0, mesh.backends["a1"].openings)
+
     def test_stopping_agent_refuses_what_waits(self) -> None:
         mesh = Mesh({"a1": ("dc-a", "desk")}, {"front-a": "dc-a"})
         mesh.start_agent("a1", reported=False)
@@ -270,6 +286,18 @@
         self.assertEqual(refusal, mesh.gates["a1"].refusal("desk", mesh.now + after))
 
 
+class TestPassingOn(unittest.TestCase):
+    """Pass an opening on only to who may take it."""
+
+    @params((frozenset(), "b1"), (frozenset({"dc-b"}), ""))
+    def test_data_centre_out(self, out: frozenset[str], owner: str) -> None:
+        agents = {"a1": ("dc-a", "desk"), "b1": ("dc-b", "desk")}
+        mesh = Mesh(agents, {"front-a": "dc-a"})
+        mesh.report("a1", draining=True)
+        mesh.agents["a1"].set_agents(mesh.directory().by_service, out)
+        self.assertEqual(owner, mesh.open_flow("front-a", flow_key(1)))
+
+
 class TestDeadAgents(unittest.TestCase):
     """Call an agent dead only when it is not this balancer that is cut off."""
 
