--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -42,6 +42,7 @@
 from berylturn.connection.packets import Accepted, Open, Ping, encode_packet
 from berylturn.connection.router import route_packet
 from berylturn.connection.token import RouteToken, issue_token
+from berylturn.process.clock import SystemClock
 from berylturn.process.logs import LogWriter, log_event
 from berylturn.process.membership import Membership
 from berylturn.process.neighbours import answer_announce
@@ -218,7 +219,7 @@
     """Return the cost of placing one flow, with or without its log line."""
     view = build_view(400)
     with tempfile.NamedTemporaryFile() as file:
-        writer = LogWriter(file.name, "INFO", "bench")
+        writer = LogWriter(file.name, "INFO", "bench", SystemClock())
 
         def place() -> bytes:
             flow = os.urandom(16)
--- a/src/berylturn/connection/passthrough_router.py
+++ b/src/berylturn/connection/passthrough_router.py
@@ -12,7 +12,7 @@
 from ..version.routes import RouteTable
 from .load_board import LoadBoard, choose_for_opening
 from .passthrough_effects import Decide, PassthroughEffect, ToCaller, ToPeer
-from .peer_frames import Ended, Forward, Load, Owned
+from .peer_frames import Forward, Load, Owned
 from .segments import Segment, SegmentCodec, caller_host
 
 # About 100 bytes each; at the target size a balancer sees 12,000 flows of its own.
@@ -127,14 +127,7 @@
             if ask:
                 hint.confirmed_at = now
             return [self._forward(segment, hint.host, table, "", ask, now)]
-        service = table.service_of(segment.flow)
-        if service is None:
-            return []
-        ranked = rank_agents(
-            segment.flow,
-            self._data_centre,
-            self._directory.by_service.get(service, ()),
-        )
+        service, ranked = self._rank_for(segment.flow, table)
         if not ranked:
             return []
         first = next(
@@ -142,7 +135,7 @@
         )
         return [self._forward(segment, first.host, table, service, True, now)]
 
-    def on_frame(self, host: str, frame: Owned | Load | Ended, now: float) -> None:
+    def on_frame(self, host: str, frame: Owned | Load, now: float) -> None:
         """Take what an agent says."""
         self._board.hear(host, frame.load, now)
         if type(frame) is Owned:
@@ -150,8 +143,14 @@
             self._hints[frame.flow] = _Hint(host, now)
             if len(self._hints) > MAX_HINTS:
                 del self._hints[next(iter(self._hints))]
-        elif type(frame) is Ended:
-            self._hints.pop(frame.flow, None)
+
+    def _rank_for(self, flow: bytes, table: RouteTable) -> tuple[str, list[AgentEntry]]:
+        """Return the likeliest service of an open flow that has agents, and those."""
+        for service in table.possible_services(flow):
+            agents = self._directory.by_service.get(service)
+            if agents:
+                return service, rank_agents(flow, self._data_centre, agents)
+        return "", []
 
     def _on_opening(
         self, segment: Segment, table: RouteTable, now: float
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -90,14 +90,7 @@
     load: LoadReport
 
 
-class Ended(msgspec.Struct, array_like=True, tag=5):
-    """Tell a balancer that a flow is over, or that no agent has it."""
-
-    flow: bytes
-    load: LoadReport
-
-
-class Probe(msgspec.Struct, array_like=True, tag=6):
+class Probe(msgspec.Struct, array_like=True, tag=5):
     """Tell an agent what a balancer knows, or ask for its load.
 
     Attributes
@@ -118,7 +111,7 @@
     ask: bool
 
 
-PeerFrame = Forward | Owned | Registered | Load | Ended | Probe
+PeerFrame = Forward | Owned | Registered | Load | Probe
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerFrame)
--- a/src/berylturn/daemon.py
+++ b/src/berylturn/daemon.py
@@ -27,10 +27,11 @@
     from .process.settings import BalancerSettings, read_settings
 
     values = read_settings(settings, BalancerSettings)
-    logs = LogWriter(values.logs.file, values.logs.level, values.node.name)
+    clock = SystemClock()
+    logs = LogWriter(values.logs.file, values.logs.level, values.node.name, clock)
 
     async def serve() -> None:
-        await Balancer(values, SystemClock(), logs).run()
+        await Balancer(values, clock, logs).run()
 
     uvloop.run(serve())
 
@@ -48,10 +49,11 @@
     from .process.settings import AgentSettings, read_settings
 
     values = read_settings(settings, AgentSettings)
-    logs = LogWriter(values.logs.file, values.logs.level, values.node.name)
+    clock = SystemClock()
+    logs = LogWriter(values.logs.file, values.logs.level, values.node.name, clock)
 
     async def serve() -> None:
-        await Agent(values, SystemClock(), logs).run()
+        await Agent(values, clock, logs).run()
 
     uvloop.run(serve())
 
--- a/src/berylturn/platform/start.py
+++ b/src/berylturn/platform/start.py
@@ -73,12 +73,13 @@
 
 def _make_node(path: str, model: type, started: float) -> PassthroughNode:
     settings = read_settings(path, model)
-    logs = LogWriter(settings.logs.file, settings.logs.level, settings.node.name)
+    clock = SystemClock()
+    logs = LogWriter(settings.logs.file, settings.logs.level, settings.node.name, clock)
     store = ObjectClient(parse_address(settings.platform.url.removeprefix("http://")))
     relayed = model is PassthroughAgentSettings
     return PassthroughNode(
         settings,
-        SystemClock(),
+        clock,
         logs,
         packets,
         store,
--- a/src/berylturn/process/logs.py
+++ b/src/berylturn/process/logs.py
@@ -11,11 +11,12 @@
 import stat
 import sys
 from collections import Counter
-from datetime import UTC, datetime
 from typing import BinaryIO
 
 import msgspec
 
+from .clock import Clock
+
 FLUSH_SECONDS = 0.1
 MAX_BUFFERED_LINES = 20_000
 # Bytes that a slow reader of standard output may leave waiting.
@@ -39,9 +40,12 @@
         Lowest level that is written.
     node : str
         Name written on each line.
+    clock : Clock
+        Source of the time of each line.
     """
 
-    def __init__(self, path: str, level: str, node: str) -> None:
+    def __init__(self, path: str, level: str, node: str, clock: Clock) -> None:
+        self._clock = clock
         self._stream: BinaryIO = (
             sys.stdout.buffer if path == "-" else open(path, "ab")  # noqa: SIM115
         )
@@ -86,7 +90,7 @@
             self._dropped += 1
             return
         line = {
-            "time": datetime.now(UTC).isoformat(timespec="milliseconds"),
+            "time": self._clock.now().isoformat(timespec="milliseconds"),
             "level": level,
             "node": self._node,
             "event": event,
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -7,7 +7,7 @@
 
 from ..connection.load_board import LoadBoard
 from ..connection.passthrough_router import PassthroughRouter
-from ..connection.peer_frames import Ended, Load, Owned, PeerFrame, Probe
+from ..connection.peer_frames import Load, Owned, PeerFrame, Probe
 from ..connection.segments import Segment
 from ..errors import PacketError
 from .agent_entries import read_directory, remove_dead_entry
@@ -98,7 +98,7 @@
         node.carry_out(self._rules.on_caller(segment, now))
 
     def _on_frame(self, host: str, frame: PeerFrame) -> None:
-        if isinstance(frame, Owned | Load | Ended):
+        if isinstance(frame, Owned | Load):
             self._rules.on_frame(host, frame, self._node.now())
             self._node.sync.note_peer(host, frame.load.newest)
 
--- a/src/berylturn_standins/opaque_demo.py
+++ b/src/berylturn_standins/opaque_demo.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import sys
-import time
 
 import fire
 
+from berylturn.process.clock import SystemClock
+
 from .opaque_deployment import SERVICE_ADDRESS, OpaqueDeployment
 
 BALANCERS = {"front-a": "patan-hall", "front-b": "thamel-bar"}
@@ -18,6 +19,7 @@
 }
 FLOWS = 20
 PAUSE_SECONDS = 0.2
+CLOCK = SystemClock()
 
 
 async def play(seconds: float) -> int:
@@ -27,15 +29,15 @@
         opened = [await deployment.callers.open(SERVICE_ADDRESS) for _ in range(FLOWS)]
         flows = [flow for flow in opened if flow is not None]
         missed += FLOWS - len(flows)
-        until = time.monotonic() + seconds
-        half = time.monotonic() + seconds / 2
+        until = CLOCK.monotonic() + seconds
+        half = CLOCK.monotonic() + seconds / 2
         stopped = False
-        while time.monotonic() < until:
+        while CLOCK.monotonic() < until:
             answers = await asyncio.gather(*(flow.ask() for flow in flows))
             asked += len(answers)
             missed += answers.count(False)
             print(f"\r{asked} requests on {len(flows)} flows", end="", flush=True)
-            if not stopped and time.monotonic() > half:
+            if not stopped and CLOCK.monotonic() > half:
                 await deployment.stop("front-a")
                 await deployment.until(lambda: len(deployment.router.ready) == 1)
                 stopped = True
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -68,6 +68,13 @@
             for flow, owner in flows.items():
                 self.assertTrue(mesh.ask(balancer, flow, owner), (balancer, owner))
 
+    def test_route_moved_to_a_service_without_agents(self) -> None:
+        mesh = Mesh(SEVEN, BALANCERS)
+        flow = flow_key(1)
+        owner = mesh.open_flow("front-a", flow)
+        mesh.change_table(make_table(2, empty=1.0))
+        self.assertTrue(mesh.ask("front-b", flow, owner))
+
     @params(("home knows", False), ("home has forgotten", True))
     def test_flow_is_found_around_a_cut(self, _: str, forgotten: bool) -> None:
         mesh = Mesh(SEVEN, BALANCERS)
