--- a/src/berylturn/connection/flow_search.py
+++ b/src/berylturn/connection/flow_search.py
@@ -6,9 +6,9 @@
 from .agent_state import AgentState
 from .flow_locations import FlowLocations
 from .offers import Offers
-from .passthrough_effects import PassthroughEffect, ToBackend, ToCaller, ToPeer
+from .passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
 from .peer_frames import Forward, forward_on
-from .segments import Segment, caller_host
+from .segments import Segment
 
 
 class FlowSearch:
@@ -79,5 +79,4 @@
         self._state.decide("flow_not_found", segment.flow, hops=hops, ended=ends)
         if not ends:
             return []
-        reset = self._state.codec.build_reset(segment.flow, segment.acknowledged)
-        return [ToCaller(caller_host(segment.flow), reset)]
+        return [reset_caller(self._state.codec, segment.flow, segment.acknowledged)]
--- a/src/berylturn/connection/flow_table.py
+++ b/src/berylturn/connection/flow_table.py
@@ -47,7 +47,6 @@
     """
 
     state: FlowState
-    opened_at: float
     seen_at: float
     first_sequence: int | None = None
     last_packet: bytes = b""
@@ -124,13 +123,13 @@
         if segment.flow in self._flows:
             self.drop(segment.flow)
         self._flows[segment.flow] = PassthroughFlow(
-            FlowState.HALF_OPEN, now, now, last_packet=segment.data
+            FlowState.HALF_OPEN, now, last_packet=segment.data
         )
         self._unserved += 1
 
     def learn(self, segment: Segment, now: float) -> PassthroughFlow:
         """Add a flow that a packet of the backend server shows."""
-        flow = PassthroughFlow(FlowState.OPEN, now, now, served=True)
+        flow = PassthroughFlow(FlowState.OPEN, now, served=True)
         if segment.accepting:
             flow.state = FlowState.HALF_OPEN
             flow.first_sequence = segment.sequence
--- a/src/berylturn/connection/openings.py
+++ b/src/berylturn/connection/openings.py
@@ -6,9 +6,9 @@
 from .agent_state import AgentState
 from .load_board import choose_for_opening
 from .offers import Offers
-from .passthrough_effects import PassthroughEffect, ToBackend, ToCaller, ToPeer
+from .passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
 from .peer_frames import Forward, Owned, forward_on
-from .segments import Segment, caller_host
+from .segments import Segment
 from .waiting import LONGEST_WAIT_SECONDS, WaitingOpening, WaitingOpenings
 
 # An opening that no agent admits is answered before its first copy (200 ms).
@@ -196,5 +196,4 @@
             version=self._state.table.version,
             report_age=now - self._state.gate.reported_at,
         )
-        reset = self._state.codec.build_reset(segment.flow, segment.acknowledged)
-        return [ToCaller(caller_host(segment.flow), reset)]
+        return [reset_caller(self._state.codec, segment.flow, segment.acknowledged)]
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -25,6 +25,7 @@
     ToBackend,
     ToCaller,
     ToPeer,
+    reset_caller,
 )
 from .peer_frames import Forward, Load, LoadReport, Owned, Registered
 from .segments import Segment, SegmentCodec, caller_host
@@ -253,8 +254,7 @@
         self._state.decide(
             "flow_lost", key, reason=reason, busy=flow.busy_since is not None
         )
-        reset = self._state.codec.build_reset(key, newest.acknowledged)
-        return [ToCaller(caller_host(key), reset)]
+        return [reset_caller(self._state.codec, key, newest.acknowledged)]
 
     def _register_all(self) -> None:
         for key, flow in self._state.flows.flows.items():
--- a/src/berylturn/connection/passthrough_effects.py
+++ b/src/berylturn/connection/passthrough_effects.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from .peer_frames import PeerFrame
+from .segments import SegmentCodec, caller_host
 
 
 @dataclass(slots=True)
@@ -34,3 +35,8 @@
 PassthroughEffect = ToBackend | ToCaller | ToPeer
 # Told of each decision: event name, flow key, and the inputs by name.
 Decide = Callable[..., None]
+
+
+def reset_caller(codec: SegmentCodec, flow: bytes, acknowledged: int) -> ToCaller:
+    """Return the reset that ends a flow at the position its caller expects."""
+    return ToCaller(caller_host(flow), codec.build_reset(flow, acknowledged))
--- a/src/berylturn/connection/passthrough_router.py
+++ b/src/berylturn/connection/passthrough_router.py
@@ -11,9 +11,9 @@
 from ..version.owners import AgentEntry, rank_agents
 from ..version.routes import RouteTable
 from .load_board import LoadBoard, choose_for_opening
-from .passthrough_effects import Decide, PassthroughEffect, ToCaller, ToPeer
+from .passthrough_effects import Decide, PassthroughEffect, ToPeer, reset_caller
 from .peer_frames import Forward, Load, Owned
-from .segments import Segment, SegmentCodec, caller_host
+from .segments import Segment, SegmentCodec
 
 # About 100 bytes each; at the target size a balancer sees 12,000 flows of its own.
 MAX_HINTS = 50_000
@@ -190,8 +190,7 @@
         self, segment: Segment, reason: str, table: RouteTable, now: float
     ) -> list[PassthroughEffect]:
         self._decide("flow_refused", segment.flow, reason=reason, version=table.version)
-        reset = self._codec.build_reset(segment.flow, segment.acknowledged)
-        return [ToCaller(caller_host(segment.flow), reset)]
+        return [reset_caller(self._codec, segment.flow, segment.acknowledged)]
 
     def _forward(
         self,
--- a/src/berylturn/connection/segments.py
+++ b/src/berylturn/connection/segments.py
@@ -5,9 +5,6 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-FLOW_KEY_BYTES = 12
-SERVICE_ADDRESS_OFFSET = 6
-
 
 @dataclass(slots=True)
 class Segment:
@@ -64,11 +61,6 @@
         """Return the datagram with a tag, and without the mark of a return."""
 
 
-def service_address(flow: bytes) -> bytes:
-    """Return the part of a flow's key that names the service's address."""
-    return flow[SERVICE_ADDRESS_OFFSET:]
-
-
 def describe_flow(flow: bytes) -> str:
     """Return a flow's key as ``IP:PORT>IP:PORT`` for logs."""
     caller = ".".join(map(str, flow[:4]))
--- a/src/berylturn/platform/documents.py
+++ b/src/berylturn/platform/documents.py
@@ -13,8 +13,6 @@
 from ..errors import PlatformError
 from ..version.routes import Route, RouteTable, ServiceLimits, ServiceShare
 
-CONFIGURATION_NAME = "main"
-
 
 class _Weighted(msgspec.Struct):
     service: str
--- a/src/berylturn/version/routes.py
+++ b/src/berylturn/version/routes.py
@@ -10,6 +10,8 @@
 # Services that one address led to before; open flows may still belong to them.
 MAX_FORMER = 4
 LAST_PRIORITY = 100
+# A flow's key has the caller's address and port before the service's.
+SERVICE_ADDRESS_OFFSET = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,20 +78,22 @@
 
     def priority_of(self, flow: bytes) -> int:
         """Return the priority of a flow's route; unknown ones go last."""
-        route = self.routes.get(flow[6:])
+        route = self.routes.get(service_address(flow))
         return LAST_PRIORITY if route is None else route.priority
 
     def possible_services(self, flow: bytes) -> list[str]:
         """Return the services that an open flow may belong to, the likeliest first."""
         current = self.service_of(flow)
-        route = self.routes.get(flow[6:])
+        route = self.routes.get(service_address(flow))
         shares = [share.service for share in route.shares] if route else []
         names = [*([current] if current else []), *shares]
-        return list(dict.fromkeys([*names, *self.former.get(flow[6:], ())]))
+        return list(
+            dict.fromkeys([*names, *self.former.get(service_address(flow), ())])
+        )
 
     def service_of(self, flow: bytes) -> str | None:
         """Return the service of a flow, the same one on each node, or None."""
-        route = self.routes.get(flow[6:])
+        route = self.routes.get(service_address(flow))
         if route is None or not route.shares:
             return None
         if len(route.shares) == 1:
@@ -97,6 +101,11 @@
         return _pick_share(route.shares, flow)
 
 
+def service_address(flow: bytes) -> bytes:
+    """Return the part of a flow's key that names the service's address."""
+    return flow[SERVICE_ADDRESS_OFFSET:]
+
+
 def _pick_share(shares: tuple[ServiceShare, ...], flow: bytes) -> str:
     total = sum(share.weight for share in shares)
     digest = blake2b(flow, digest_size=SHARE_HASH_BYTES).digest()
