Spare a backend server whose restart is only suspected

The same window stood open between a restart and its first report.

Change: a report of another start, and flows handed back one after another, begin a cold start that the next report confirms or ends; a report that is not in force is not acknowledged. Tests in test_passthrough failed first (40 openings instead of 8).

--- a/src/berylturn/connection/opening_gate.py
+++ b/src/berylturn/connection/opening_gate.py
@@ -25,6 +25,8 @@
 SUPERSEDED_SECONDS = 2.5
 # A backend server that runs answers an opening within milliseconds.
 UNANSWERED_SECONDS = 0.25
+# Flows that a server forgets one by one are rarely this close together.
+LOST_FLOWS_SECONDS = 0.5
 FLOW_RATE = 10_000.0
 
 
@@ -106,6 +108,7 @@
         self._warm_floor = now
         self._cold_openings: deque[float] = deque()
         self._unanswered: dict[bytes, float] = {}
+        self._lost_flow_at = float("-inf")
 
     @property
     def report(self) -> BackendReport | None:
@@ -139,6 +142,8 @@
         """Take a report if it is the newest; return whether the server restarted."""
         held = self._report
         if held is not None and not self._is_newer(report, held, now):
+            if report.started_ms != held.started_ms:
+                self._spare(report.cold_seconds, now)
             return False
         restarted = held is not None and report.started_ms != held.started_ms
         self._report = report
@@ -146,7 +151,7 @@
         self._gone = False
         self._doubtful = None
         self._unanswered.clear()
-        self._cold_until = max(self._cold_until, now + report.cold_seconds)
+        self._spare(report.cold_seconds, now)
         cold_for = self._limits.cold_seconds - report.cold_seconds
         if restarted or (report.cold_seconds > 0 and now - cold_for > self._started):
             self._saw_start = True
@@ -163,6 +168,22 @@
         self._gone = True
         return True
 
+    def in_force(self, report: BackendReport) -> bool:
+        """Tell whether the gate follows the start of the server that reports."""
+        held = self.report
+        return held is not None and held.started_ms == report.started_ms
+
+    def on_flow_lost(self, now: float) -> None:
+        """Note that the server handed back a packet of a flow that it held.
+
+        It may have forgotten one flow; several at once show a restart, which its next
+        report confirms or denies.
+        """
+        recent = now - self._lost_flow_at <= LOST_FLOWS_SECONDS
+        self._lost_flow_at = now
+        if recent:
+            self._spare(self._limits.cold_seconds, now)
+
     def mark_down(self, down: bool) -> None:
         """Note whether the backend server is known not to run."""
         self._flows.down = down
@@ -251,6 +272,10 @@
         """Count a flow as ended."""
         self._flows.end_flow()
 
+    def _spare(self, seconds: float, now: float) -> None:
+        """Treat the server as cold until its next report says that it is not."""
+        self._cold_until = max(self._cold_until, now + seconds)
+
     def _is_newer(self, report: BackendReport, held: BackendReport, now: float) -> bool:
         if report.started_ms == held.started_ms:
             return report.sequence > held.sequence
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -225,7 +225,7 @@
         offer = self._offers.take(segment.tag)
         flow = self._state.flows.get(segment.flow)
         if offer is None:
-            return self._on_flow_lost(segment, flow)
+            return self._on_flow_lost(segment, flow, now)
         frame, original = offer
         if not segment.opening:
             if flow is not None and flow.owns(original):
@@ -236,13 +236,14 @@
         return self._openings.take_back(frame, original, now)
 
     def _on_flow_lost(
-        self, segment: Segment, flow: PassthroughFlow | None
+        self, segment: Segment, flow: PassthroughFlow | None, now: float
     ) -> list[PassthroughEffect]:
         if flow is None or flow.state is not FlowState.OPEN or segment.opening:
             return []
         if flow.caller_closed or flow.backend_closed:
             self._state.flows.drop(segment.flow)
             return []
+        self._state.gate.on_flow_lost(now)
         return self._end_lost(segment.flow, "backend_restarted")
 
     def _end_lost(self, key: bytes, reason: str) -> list[PassthroughEffect]:
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -88,7 +88,7 @@
         loop = asyncio.get_running_loop()
         self._backend, _ = await loop.create_datagram_endpoint(
             lambda: _BackendSocket(self._on_refused),
-            local_addr=(node.host, 0),
+            local_addr=(node.bind_host, 0),
             remote_addr=section.address,
         )
         node.known_peers = lambda: [*self._balancers, *(s.host for s in self._siblings)]
@@ -119,6 +119,15 @@
             self._carry_out(self._rules.on_restarted())
         self._carry_out(self._rules.release(node.now()))
         self._tell_if_changed()
+        if not self._gate.in_force(report):
+            log_warning(
+                "heartbeat_doubted",
+                id=report.identifier,
+                started_ms=report.started_ms,
+                sequence=report.sequence,
+                known_start_ms=held.started_ms if held is not None else None,
+            )
+            return False
         return True
 
     def on_leave(self, identifier: str) -> bool:
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -167,6 +167,49 @@
         self.assertEqual(admitted, mesh.backends["a1"].openings)
 
 
+class TestColdStartInDoubt(unittest.TestCase):
+    """Spare a server whose start is only suspected."""
+
+    def _crowd(self, mesh: Mesh, first: int = 100) -> int:
+        before = mesh.backends["a1"].openings
+        for number in range(40):
+            mesh.open_flow("front-a", flow_key(first + number))
+        return mesh.backends["a1"].openings - before
+
+    @params(
+        ("a start before the one that is known", True, 0.0, 8),
+        ("the known start reports that it is warm", True, 0.3, 40),
+        ("nothing", False, 0.0, 40),
+    )
+    def test_older_start(
+        self, _: str, doubtful: bool, denied_after: float, admitted: int
+    ) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, BALANCERS)
+        mesh.now += 10.0
+        mesh.report("a1", 9)
+        if doubtful:
+            mesh.report("a1", 4, cold_seconds=1.5)
+        if denied_after:
+            mesh.now += denied_after
+            mesh.report("a1", 9)
+        self.assertEqual(admitted, self._crowd(mesh))
+
+    def test_server_hands_back_flows_that_it_held(self) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, BALANCERS)
+        flows = [flow_key(number) for number in range(4)]
+        for flow in flows:
+            mesh.open_flow("front-a", flow)
+        mesh.now += 10.0
+        mesh.report("a1")
+        mesh.backends["a1"].flows.clear()
+        for flow in flows:
+            self.assertFalse(mesh.ask("front-a", flow, "a1"))
+        self.assertEqual(8, self._crowd(mesh))
+        mesh.now += 0.3
+        mesh.report("a1")
+        self.assertEqual(40, self._crowd(mesh, first=200))
+
+
 class TestWaiting(unittest.TestCase):
     """Let openings wait where that serves them.
 
