Add a fault soak, take changed settings over, and name the address to bind to

Soak: real daemons as processes, fault proxies between daemons and before the platform, faults drawn from a seed in series and overlapping, promises checked from what callers and backend servers see. Daemons now may listen on another address than the one they are known by, which a proxy in between needs. The stand-ins grew what the soak showed to be missing: a server holds a flow only once the caller has chosen it, callers drop copies of earlier packets, a server that restarts is gone for a moment, ended soaks end their daemons.

Settings: SIGHUP and a changed file are read again; bounds and seeds apply, what needs a restart is named, an invalid file changes nothing (before: logged, nothing applied). Test: test_settings_change. Open: seed 3 of the soak, a flow reset while its server holds it.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LOSS ?= 0
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test lint format setup measure measure-all queue-orders imbalance-floor slopes passthrough-slopes
+.PHONY: demo test lint format setup measure measure-all queue-orders imbalance-floor slopes passthrough-slopes soak
 
 setup: $(STAMP)
 
@@ -50,3 +50,9 @@
 
 passthrough-slopes: setup
 	$(BIN)/python -m bench.passthrough_slopes
+
+SOAK_SEED ?= 1
+SOAK_COUNT ?= 50
+
+soak: setup
+	$(BIN)/python -m berylturn_standins.soak --seed=$(SOAK_SEED) --count=$(SOAK_COUNT)
--- a/src/berylturn/connection/opening_gate.py
+++ b/src/berylturn/connection/opening_gate.py
@@ -188,6 +188,10 @@
         """Note whether the backend server is known not to run."""
         self._flows.down = down
 
+    def set_bounds(self, bounds: GateBounds) -> None:
+        """Put other bounds from the settings in force."""
+        self._bounds = bounds
+
     def set_limits(self, limits: ServiceLimits, now: float) -> None:
         """Put new limits of the service in force."""
         self._limits = limits
--- a/src/berylturn/platform/start.py
+++ b/src/berylturn/platform/start.py
@@ -17,8 +17,8 @@
     PassthroughAgentSettings,
     PassthroughBalancerSettings,
     parse_address,
-    read_settings,
 )
+from ..process.settings_file import SettingsFile
 from . import packets
 from .calls import refuse_heartbeats, serve_heartbeats, serve_readiness
 from .documents import decode_configuration
@@ -72,13 +72,15 @@
 
 
 def _make_node(path: str, model: type, started: float) -> PassthroughNode:
-    settings = read_settings(path, model)
+    file = SettingsFile(path, model)
+    settings = file.read()
     clock = SystemClock()
     logs = LogWriter(settings.logs.file, settings.logs.level, settings.node.name, clock)
     store = ObjectClient(parse_address(settings.platform.url.removeprefix("http://")))
     relayed = model is PassthroughAgentSettings
     return PassthroughNode(
         settings,
+        file,
         clock,
         logs,
         packets,
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -58,11 +58,7 @@
 
     def __init__(self, node: PassthroughNode) -> None:
         self._node = node
-        section = node.settings.opaque_backend
-        bounds = GateBounds(
-            section.cold_factor, section.cold_slack, section.heartbeat.total_seconds()
-        )
-        self._gate = OpeningGate(bounds, node.started)
+        self._gate = OpeningGate(_read_bounds(node), node.started)
         self._board = LoadBoard()
         self._rules = PassthroughAgent(
             node.host,
@@ -93,6 +89,7 @@
         )
         node.known_peers = lambda: [*self._balancers, *(s.host for s in self._siblings)]
         node.describe = self._describe
+        node.on_settings = lambda: self._gate.set_bounds(_read_bounds(node))
         await node.open(
             self._on_packet, self._on_frame, self._on_change, heartbeats, readiness
         )
@@ -312,10 +309,10 @@
             node.metrics.gauge("running", self._rules.running)
 
     async def _sweep(self) -> None:
-        longest = self._node.settings.opaque_backend.longest_flow.total_seconds()
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
-            self._rules.sweep(self._node.now(), longest)
+            longest = self._node.settings.opaque_backend.longest_flow
+            self._rules.sweep(self._node.now(), longest.total_seconds())
 
     async def _stop(self) -> None:
         node = self._node
@@ -348,6 +345,13 @@
             self._on_refused(exc)
 
 
+def _read_bounds(node: PassthroughNode) -> GateBounds:
+    section = node.settings.opaque_backend
+    return GateBounds(
+        section.cold_factor, section.cold_slack, section.heartbeat.total_seconds()
+    )
+
+
 def _differ(before: BackendReport, after: BackendReport) -> bool:
     return (
         before.started_ms != after.started_ms
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -26,6 +26,7 @@
     ViewSync,
 )
 from .settings import PassthroughAgentSettings, PassthroughBalancerSettings
+from .settings_file import SettingsFile
 from .sockets import Address, open_udp
 from .tasks import TaskGroup
 
@@ -43,6 +44,8 @@
     ----------
     settings : PassthroughBalancerSettings or PassthroughAgentSettings
         Validated settings.
+    file : SettingsFile
+        Where they come from; it is read again when it changes.
     clock : Clock
         Source of time.
     logs : LogWriter
@@ -62,6 +65,7 @@
     def __init__(
         self,
         settings: PassthroughBalancerSettings | PassthroughAgentSettings,
+        file: SettingsFile,
         clock: Clock,
         logs: LogWriter,
         codec: SegmentCodec,
@@ -70,6 +74,7 @@
         started: float,
         relayed: bool,
     ) -> None:
+        self._file = file
         self.settings = settings
         self.clock = clock
         self.codec = codec
@@ -96,6 +101,7 @@
             relayed,
         )
         self.known_peers: Callable[[], list[str]] = list
+        self.on_settings: Callable[[], None] = lambda: None
         # What the command-line tool shows of this kind of daemon.
         self.describe: Callable[[], dict[str, object]] = dict
 
@@ -104,6 +110,11 @@
         """Return the IP address of this node."""
         return self.settings.passthrough.host
 
+    @property
+    def bind_host(self) -> str:
+        """Return the IP address that this node's own sockets are bound to."""
+        return self.settings.passthrough.bind or self.host
+
     def now(self) -> float:
         """Return seconds on the monotonic clock."""
         return self.clock.monotonic()
@@ -132,11 +143,11 @@
         self._on_change = on_change
         self._packets = await open_udp(section.packets, on_caller)
         self._peers = await open_udp(
-            (section.host, section.peer_port), self._make_frame_receiver(on_frame)
+            (self.bind_host, section.peer_port), self._make_frame_receiver(on_frame)
         )
         await serve_http(section.ready, readiness)
         await serve_http(section.heartbeats, heartbeats)
-        await serve_http((section.host, section.peer_port), self._serve_peer)
+        await serve_http((self.bind_host, section.peer_port), self._serve_peer)
         if self.settings.metrics.listen is not None:
             await serve_http(self.settings.metrics.listen, self._serve_metrics)
         self.tasks.start(self.logs.run(), "logs")
@@ -145,7 +156,7 @@
             self.tasks.start(self.metrics.run(), "metrics")
         self.tasks.stop_on_signals()
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.sync.start()
         log_event(
             "started",
@@ -268,7 +279,9 @@
         while True:
             await asyncio.sleep(SECOND)
             self.lines.start_second()
+            if self._file.has_changed():
+                self._reload()
 
-    def _on_hangup(self) -> None:
-        # Addresses are those of the host; a change of them comes with a restart.
-        log_event("reloaded", changed=[])
+    def _reload(self) -> None:
+        self.settings = self._file.reload(self.settings)
+        self.on_settings()
--- a/src/berylturn/process/settings.py
+++ b/src/berylturn/process/settings.py
@@ -180,6 +180,10 @@
     grace: Annotated[timedelta, Meta(description="time to stop after SIGTERM")] = (
         timedelta(seconds=6)
     )
+    bind: Annotated[
+        str | None,
+        Meta(description="IP address to listen on for other daemons, if not `host`"),
+    ] = None
 
 
 class OpaqueBackendSection(_Section):
--- a/src/berylturn_standins/objects.py
+++ b/src/berylturn_standins/objects.py
@@ -64,7 +64,8 @@
 
     async def stop(self) -> None:
         """Stop listening."""
-        await self._runner.cleanup()
+        if self._runner is not None:
+            await self._runner.cleanup()
 
     def names(self, kind: str) -> set[str]:
         """Return the names of the objects of a kind."""
--- a/src/berylturn_standins/opaque.py
+++ b/src/berylturn_standins/opaque.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 import struct
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -17,6 +18,8 @@
 FLAGS_AT = 14
 SYN, ACK, FIN, RST, BOUNCED = 64, 16, 1, 8, 128
 KEYED_SUM = 0x5EA1
+KEYED_SUM_BYTES = KEYED_SUM.to_bytes(4, "big")
+SUM_AT, BODY_AT = 27, 31
 RETRANSMIT_SECONDS = (0.2, 0.6, 1.4)
 
 
@@ -112,21 +115,41 @@
 class _BackendFlow:
     first_sequence: int
     caller_next: int
-    sent: int
+    answers: bytes = b""
+    chosen: bool = False
+
+    def is_chosen_by(self, acknowledged: int) -> bool:
+        """Tell whether the caller's position shows that it took this server's answer.
+
+        Copies of an opening may reach two servers; the caller goes on with one.
+        """
+        self.chosen = self.chosen or acknowledged == self.first_sequence + 1
+        return self.chosen
+
+
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """One flow that a backend server took: when, from whom, and to which address."""
+
+    at: float
+    caller: tuple[str, int]
+    service: tuple[str, int]
 
 
 @dataclass
 class OpaqueBackend:
-    """A backend server that answers each request on a flow with ``ok``.
+    """A backend server that answers each request on a flow with its content.
 
     Attributes
     ----------
     host : str
         IP address of its host.
-    opened : list of tuple
-        Callers whose flows it took.
-    answered : int
-        Requests that it ran.
+    opened : list of Opening
+        Flows that it took.
+    ran : Counter of bytes
+        How often it ran each request.
+    forged : int
+        Packets that no caller wrote so.
     """
 
     host: str
@@ -136,12 +159,24 @@
     started_ms: int
     state: str = "ready"
     cold_ms: int = 0
-    opened: list[tuple[str, int]] = field(default_factory=list)
-    answered: int = 0
+    opened: list[Opening] = field(default_factory=list)
+    ran: Counter[bytes] = field(default_factory=Counter)
+    forged: int = 0
     _flows: dict[tuple, _BackendFlow] = field(default_factory=dict)
     _sequence: int = 0
+    _cold_from: float = 0.0
     _transport: asyncio.DatagramTransport | None = None
 
+    @property
+    def answered(self) -> int:
+        """Return how many requests it ran."""
+        return self.ran.total()
+
+    def holds(self, caller: tuple[str, int], service: tuple[str, int]) -> bool:
+        """Tell whether a flow is open here."""
+        flow = self._flows.get((caller, service))
+        return flow is not None and flow.chosen
+
     async def start(self) -> None:
         """Take packets."""
         loop = asyncio.get_running_loop()
@@ -152,12 +187,23 @@
 
     def stop(self) -> None:
         """Die, with all flows."""
-        self._transport.close()
+        if self._transport is not None:
+            self._transport.abort()
         self._flows.clear()
 
-    def restart(self) -> None:
-        """Forget all flows, as a new start under the same name does."""
-        self.started_ms += 1
+    def restart(self, clock_ms: int = 1, cold_ms: int = 0) -> None:
+        """Begin anew under the same name, without any flow.
+
+        Parameters
+        ----------
+        clock_ms : int
+            How much later it starts by its own clock, which may have been set back.
+        cold_ms : int
+            How long it stays cold.
+        """
+        self.started_ms += clock_ms
+        self.cold_ms = cold_ms
+        self._cold_from = asyncio.get_running_loop().time()
         self._sequence = 0
         self._flows.clear()
 
@@ -171,7 +217,7 @@
             "version": "v1",
             "slots": 3,
             "state": self.state,
-            "cold_remaining_ms": self.cold_ms,
+            "cold_remaining_ms": self._cold_left(),
             "sequence": self._sequence,
             "born": self.started_ms,
         }
@@ -183,27 +229,34 @@
         except (aiohttp.ClientError, TimeoutError):
             return False
 
+    def _cold_left(self) -> int:
+        since = asyncio.get_running_loop().time() - self._cold_from
+        return max(0, self.cold_ms - int(since * 1000))
+
     def _on_packet(self, data: bytes) -> None:
         header, body = unpack_packet(data)
         key = (header.source, header.target)
         flow = self._flows.get(key)
-        if header.flags & SYN:
+        if data[SUM_AT:BODY_AT] != KEYED_SUM_BYTES:
+            self.forged += 1
+        elif header.flags & SYN:
             if flow is None:
-                flow = _BackendFlow(random.getrandbits(31), header.sequence + 1, 0)
+                flow = _BackendFlow(random.getrandbits(31), header.sequence + 1)
                 self._flows[key] = flow
-                self.opened.append(header.source)
+                now = asyncio.get_running_loop().time()
+                self.opened.append(Opening(now, *key))
             self._send(header, flow.first_sequence, SYN | ACK, flow.caller_next)
-        elif flow is None:
+        elif flow is None or not flow.is_chosen_by(header.acknowledged):
             flags = bytes([data[FLAGS_AT] | BOUNCED])
             back = data[:FLAGS_AT] + flags + data[FLAGS_AT + 1 :]
             self._transport.sendto(back, (self.host, self.ports.outbound))
         elif body:
             if header.sequence == flow.caller_next:
                 flow.caller_next += len(body)
-                flow.sent += 2
-                self.answered += 1
-            at = flow.first_sequence + flow.sent - 1
-            self._send(header, at, ACK, flow.caller_next, b"ok")
+                flow.answers += body
+                self.ran[body] += 1
+            at = flow.first_sequence + 1 + len(flow.answers) - len(body)
+            self._send(header, at, ACK, flow.caller_next, flow.answers[-len(body) :])
 
     def _send(
         self, header: Header, sequence: int, flags: int, ack: int, body: bytes = b""
@@ -231,7 +284,9 @@
         self._router = router
         self._ports = ports
         self._next_port = 1024
-        self._waiting: dict[tuple, asyncio.Future[Header]] = {}
+        self._waiting: dict[
+            tuple, tuple[asyncio.Future[tuple[Header, bytes]], int | None]
+        ] = {}
         self._transport: asyncio.DatagramTransport | None = None
 
     async def start(self) -> None:
@@ -244,18 +299,29 @@
 
     def stop(self) -> None:
         """Leave."""
-        self._transport.close()
+        if self._transport is not None:
+            self._transport.close()
+
+    def make_flow(self, service: tuple[str, int]) -> CallerFlow:
+        """Return a flow that is not open yet."""
+        self._next_port += 1
+        return CallerFlow(self, (self._host, self._next_port), service)
 
     async def open(self, service: tuple[str, int]) -> CallerFlow | None:
         """Open a flow; return None when it was refused or not answered."""
-        self._next_port += 1
-        flow = CallerFlow(self, (self._host, self._next_port), service)
+        flow = self.make_flow(service)
         return flow if await flow.open() else None
 
-    async def exchange(self, key: tuple, data: bytes) -> Header | None:
-        """Send a packet, with copies, until something comes back on the flow."""
+    async def exchange(
+        self, key: tuple, data: bytes, expected: int | None
+    ) -> tuple[Header, bytes] | None:
+        """Send a packet, with copies, until the next packet of the flow comes back.
+
+        Others than the one at the `expected` sequence number are dropped: copies
+        of earlier answers, acceptances by a server that the caller did not choose.
+        """
         waiter = asyncio.get_running_loop().create_future()
-        self._waiting[key] = waiter
+        self._waiting[key] = (waiter, expected)
         elapsed = 0.0
         for until in RETRANSMIT_SECONDS:
             self.send(key, data)
@@ -270,10 +336,12 @@
         self._transport.sendto(data, (self._router.choose(key), self._ports.packets))
 
     def _on_packet(self, data: bytes) -> None:
-        header, _ = unpack_packet(data)
-        waiter = self._waiting.get((header.target, header.source))
-        if waiter is not None and not waiter.done():
-            waiter.set_result(header)
+        header, body = unpack_packet(data)
+        waiter, expected = self._waiting.get((header.target, header.source), (None, 0))
+        if waiter is None or waiter.done():
+            return
+        if header.flags & RST or expected in (None, header.sequence):
+            waiter.set_result((header, body))
 
 
 class CallerFlow:
@@ -287,34 +355,48 @@
         self._sequence = 100
         self._expected = 0
         self.reset = False
+        self.crossed = False
 
     @property
     def source(self) -> tuple[str, int]:
         """Return the caller's address and port."""
         return self._key[0]
 
+    @property
+    def target(self) -> tuple[str, int]:
+        """Return the service's address and port."""
+        return self._key[1]
+
     async def open(self) -> bool:
         """Return whether a backend server took the flow."""
-        answer = await self._callers.exchange(self._key, self._packet(SYN))
-        if answer is None or answer.flags & RST:
+        found = await self._callers.exchange(self._key, self._packet(SYN), None)
+        if found is None:
+            return False
+        answer, _ = found
+        if answer.flags & RST:
+            self.reset = True
             return False
         self._sequence += 1
         self._expected = answer.sequence + 1
         self._callers.send(self._key, self._packet(ACK))
         return True
 
-    async def ask(self) -> bool:
+    async def ask(self, content: bytes = b"GET /") -> bool:
         """Send one request; return whether its own answer came."""
-        packet = self._packet(ACK, b"GET /")
-        answer = await self._callers.exchange(self._key, packet)
-        if answer is None:
+        packet = self._packet(ACK, content)
+        found = await self._callers.exchange(self._key, packet, self._expected)
+        if found is None:
             return False
+        answer, body = found
         if answer.flags & RST:
             self.reset = True
             return False
-        self._sequence += 5
-        self._expected = answer.sequence + 2
-        return answer.acknowledged == self._sequence
+        self._sequence += len(content)
+        if answer.acknowledged != self._sequence or body != content:
+            self.crossed = True
+            return False
+        self._expected = answer.sequence + len(body)
+        return True
 
     def _packet(self, flags: int, body: bytes = b"") -> bytes:
         header = Header(self._sequence, self._expected, 0, flags, *self._key)
--- a/src/berylturn_standins/opaque_deployment.py
+++ b/src/berylturn_standins/opaque_deployment.py
@@ -14,12 +14,16 @@
 
 import aiohttp
 
+from .faults import LinkFaults
 from .objects import ObjectStandIn
 from .opaque import OpaqueBackend, OpaqueCallers, Ports, Router
+from .proxy import FaultProxy
 
 REPOSITORY = Path(__file__).parent.parent.parent
-PLATFORM_ADDRESS = ("127.9.0.1", 18169)
+PLATFORM_PORT = 18169
 SERVICE_ADDRESS = ("198.18.0.1", 443)
+# Openings that a backend server in cold start bears.
+COLD_PER_SECOND = 4.0
 BEAT_SECONDS = 0.3
 # Daemons write their lines every 0.1 s.
 LOG_FLUSH_SECONDS = 0.3
@@ -39,6 +43,10 @@
         Data centre and service by name.
     steady : bool
         Whether the routers move only the flows of a lost balancer.
+    network : int
+        Deployments with different numbers may run at the same time; 0 to 23.
+    proxied : bool
+        Whether fault proxies stand between daemons, and before the platform.
     """
 
     def __init__(
@@ -46,45 +54,45 @@
         balancers: dict[str, str],
         agents: dict[str, tuple[str, str]],
         steady: bool = False,
+        network: int = 0,
+        proxied: bool = False,
     ) -> None:
+        first = 10 * network + 6
         self.ports = Ports()
-        self.platform = ObjectStandIn(PLATFORM_ADDRESS)
-        self.hosts = {name: f"127.8.0.{n}" for n, name in enumerate(balancers, 1)}
-        self.hosts |= {name: f"127.8.1.{n}" for n, name in enumerate(agents, 1)}
+        self.platform = ObjectStandIn((f"127.{first + 3}.0.1", PLATFORM_PORT))
+        names = [*balancers, *agents]
+        self.hosts = {name: f"127.{first + 2}.0.{n}" for n, name in enumerate(names, 1)}
+        # Where other daemons find a daemon: itself, or the proxy before it.
+        self.fronts = {
+            name: f"127.{first}.0.{n}" if proxied else self.hosts[name]
+            for n, name in enumerate(names, 1)
+        }
+        self.peer_proxies: dict[str, FaultProxy] = {}
+        self.platform_proxies: dict[str, FaultProxy] = {}
         self.balancers = balancers
         self.agents = agents
         self.router = Router(
             [self.hosts[name] for name in balancers], self.ports, steady
         )
-        self.callers = OpaqueCallers("127.7.0.1", self.router, self.ports)
+        self.callers = OpaqueCallers(f"127.{first + 1}.0.1", self.router, self.ports)
         self.backends = {
             name: OpaqueBackend(self.hosts[name], service, centre, self.ports, 1)
             for name, (centre, service) in agents.items()
         }
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.http: aiohttp.ClientSession | None = None
+        # What the daemons have logged, once they are stopped.
+        self.kept_logs: dict[str, str] = {}
         self._folder = tempfile.TemporaryDirectory(prefix="berylturn-")
         self._tasks: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> OpaqueDeployment:
         self.http = aiohttp.ClientSession()
-        await self.platform.start()
-        await self.configure(1, desk=1.0)
-        await self.callers.start()
-        for backend in self.backends.values():
-            await backend.start()
-        for name in [*self.balancers, *self.agents]:
-            await self.start(name)
-        self._tasks = [
-            asyncio.create_task(self._beat()),
-            asyncio.create_task(self._probe()),
-        ]
-        await self.until(lambda: len(self.router.ready) == len(self.balancers))
-        await self.until(
-            lambda: self.platform.names("berylturn-agents") == set(self.agents)
-        )
-        for name in [*self.balancers, *self.agents]:
-            await self._until_directory_known(name)
+        try:
+            await self._start_all()
+        except BaseException:
+            await self.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -92,11 +100,14 @@
             task.cancel()
         for name in list(self.processes):
             await self.stop(name, signal.SIGKILL)
+        for proxy in [*self.peer_proxies.values(), *self.platform_proxies.values()]:
+            await proxy.stop()
         for backend in self.backends.values():
             backend.stop()
         self.callers.stop()
         await self.http.close()
         await self.platform.stop()
+        self.kept_logs = {name: self.log_of(name) for name in self.hosts}
         self._folder.cleanup()
 
     async def configure(self, version: int, **shares: float) -> None:
@@ -114,7 +125,11 @@
                 {"service": name, "weight": weight} for name, weight in shares.items()
             ],
         }
-        limits = {"max_connections": 2000, "cold_start_s": 2.0, "cold_per_s": 0.0}
+        limits = {
+            "max_connections": 2000,
+            "cold_start_s": 2.0,
+            "cold_per_s": COLD_PER_SECOND,
+        }
         spec = {
             "version": version,
             "routes": [route] if shares else [],
@@ -126,7 +141,7 @@
     async def start(self, name: str) -> None:
         """Start one daemon."""
         role = "balancer" if name in self.balancers else "agent"
-        path = Path(self._folder.name) / f"{name}.ini"
+        path = self.settings_path(name)
         path.write_text(self._settings(name, role))
         log = open(Path(self._folder.name) / f"{name}.log", "ab")  # noqa: SIM115
         with log:
@@ -146,9 +161,14 @@
             process.send_signal(number)
         return await asyncio.wait_for(process.wait(), STOP_SECONDS)
 
+    def settings_path(self, name: str) -> Path:
+        """Return the settings file of a daemon."""
+        return Path(self._folder.name) / f"{name}.ini"
+
     def log_of(self, name: str) -> str:
         """Return what a daemon has logged."""
-        return (Path(self._folder.name) / f"{name}.log").read_text()
+        path = Path(self._folder.name) / f"{name}.log"
+        return path.read_text() if path.exists() else ""
 
     def explain(self) -> str:
         """Return the lines of all daemons that tell of trouble, newest last."""
@@ -200,6 +220,40 @@
             while wanted not in await self.read_metrics(name):
                 await asyncio.sleep(POLL_SECONDS)
 
+    async def _start_all(self) -> None:
+        await self.platform.start()
+        await self.configure(1, desk=1.0)
+        await self.callers.start()
+        for backend in self.backends.values():
+            await backend.start()
+        if self.fronts != self.hosts:
+            await self._start_proxies()
+        for name in [*self.balancers, *self.agents]:
+            await self.start(name)
+        self._tasks = [
+            asyncio.create_task(self._beat()),
+            asyncio.create_task(self._probe()),
+        ]
+        await self.until(lambda: len(self.router.ready) == len(self.balancers))
+        await self.until(
+            lambda: self.platform.names("berylturn-agents") == set(self.agents)
+        )
+        for name in [*self.balancers, *self.agents]:
+            await self._until_directory_known(name)
+
+    async def _start_proxies(self) -> None:
+        fronts = {host: self.fronts[name] for name, host in self.hosts.items()}
+        for seed, (name, front) in enumerate(self.fronts.items()):
+            peers = (self.hosts[name], self.ports.peers)
+            self.peer_proxies[name] = FaultProxy(
+                peers, LinkFaults(), seed, fronts.__getitem__
+            )
+            await self.peer_proxies[name].start((front, self.ports.peers))
+            self.platform_proxies[name] = FaultProxy(
+                self.platform.address, LinkFaults(), seed
+            )
+            await self.platform_proxies[name].start((front, PLATFORM_PORT))
+
     async def _beat(self) -> None:
         while True:
             beats = [backend.beat(self.http) for backend in self.backends.values()]
@@ -213,16 +267,20 @@
 
     def _settings(self, name: str, role: str) -> str:
         host, ports = self.hosts[name], self.ports
+        front = self.fronts[name]
+        proxied = front != host
+        platform = front if proxied else self.platform.address[0]
         centre = self.balancers[name] if role == "balancer" else self.agents[name][0]
         seeds = ",".join(
-            f"{self.hosts[seed]}:{ports.heartbeats}" for seed in self.balancers
+            f"{self.fronts[seed]}:{ports.heartbeats}" for seed in self.balancers
         )
         lines = [
             "[node]",
             f"name = {name}",
             f"data_centre = {centre}",
             "[passthrough]",
-            f"host = {host}",
+            f"host = {front}",
+            f"bind = {host}",
             f"packets = {host}:{ports.packets}",
             f"ready = {host}:{ports.ready}",
             f"heartbeats = {host}:{ports.heartbeats}",
@@ -230,7 +288,7 @@
             f"seeds = {seeds}",
             "grace = 6s",
             "[platform]",
-            f"url = http://{PLATFORM_ADDRESS[0]}:{PLATFORM_ADDRESS[1]}",
+            f"url = http://{platform}:{PLATFORM_PORT}",
             "[metrics]",
             f"listen = {host}:{ports.metrics}",
         ]
--- /dev/null
+++ b/src/berylturn_standins/soak_plan.py
@@ -0,0 +1,89 @@
+"""Faults of one soak, drawn from its seed."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+# A seed means the same faults only for one length.
+SOAK_SECONDS = 15.0
+# Faults begin after flows are open, and end before the recovery is judged.
+CALM_START_SECONDS = 2.0
+LONGEST_FAULT_SECONDS = 4.0
+# Seconds between the starts of two faults; shorter than most of them, so they overlap.
+GAP_SECONDS = (0.3, 2.0)
+
+
+class Fault(StrEnum):
+    """What is brought about, from outside the daemons."""
+
+    TERM = "term"
+    KILL = "kill"
+    PAUSE = "pause"
+    HANGUP = "hangup"
+    HERD_KILL = "herd_kill"
+    PLATFORM_BUSY = "platform_busy"
+    PLATFORM_MANY = "platform_many"
+    PLATFORM_RESET = "platform_reset"
+    PLATFORM_SILENT = "platform_silent"
+    PLATFORM_SLOW = "platform_slow"
+    PLATFORM_CUT = "platform_cut"
+    CONNECTIONS_SILENT = "connections_silent"
+    CONNECTIONS_RESET = "connections_reset"
+    LOST_ANSWERS = "lost_answers"
+    HISTORY_GONE = "history_gone"
+    ENTRY_LAPSES = "entry_lapses"
+    PEERS_CUT = "peers_cut"
+    PEERS_ONE_WAY = "peers_one_way"
+    PEERS_LOSSY = "peers_lossy"
+    PEERS_SLOW = "peers_slow"
+    SERVER_RESTART = "server_restart"
+    SERVER_CLOCK_BACK = "server_clock_back"
+    SERVER_DRAIN = "server_drain"
+    CONFIGURE = "configure"
+    EVACUATE = "evacuate"
+
+
+# Faults of the daemons and links; the others are planned changes or servers' own.
+UNPLANNED = frozenset(
+    fault
+    for fault in Fault
+    if fault not in (Fault.HANGUP, Fault.SERVER_DRAIN, Fault.CONFIGURE, Fault.EVACUATE)
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Act:
+    """One fault: when it begins, how long it lasts, and whom it concerns.
+
+    Attributes
+    ----------
+    at, seconds : float
+        Seconds since the start of the load, and length.
+    pick : float
+        From 0 to 1; picks a daemon, a backend server or a data centre.
+    share : float
+        From 0 to 1; how many are concerned where a fault takes several.
+    """
+
+    at: float
+    fault: Fault
+    seconds: float
+    pick: float
+    share: float
+
+
+def plan_acts(seed: int, seconds: float) -> list[Act]:
+    """Return the faults of a seed in the order of their starts."""
+    chance = random.Random(seed)
+    acts: list[Act] = []
+    at = CALM_START_SECONDS
+    # A few kinds a run, so that each meets itself and the others more than once.
+    kinds = chance.sample(list(Fault), k=6)
+    while at < seconds - LONGEST_FAULT_SECONDS:
+        length = chance.uniform(0.2, LONGEST_FAULT_SECONDS)
+        fault = chance.choice(kinds)
+        acts.append(Act(at, fault, length, chance.random(), chance.random()))
+        at += chance.uniform(*GAP_SECONDS)
+    return acts
--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -86,6 +86,26 @@
             self.assertIn("berylturn_flow_admitted_total", page)
             self.assertIn("berylturn_response_seconds_bucket", page)
 
+    @params(("by signal", True), ("without a signal", False))
+    @run_async
+    async def test_settings_change(self, _: str, signalled: bool) -> None:
+        async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
+            path = deployment.settings_path("side-a1")
+            text = path.read_text().replace("cold_slack = 5", "cold_slack = 3")
+            path.write_text(text.replace("metrics]\nlisten", "metrics]\n;listen"))
+            if signalled:
+                deployment.processes["side-a1"].send_signal(signal.SIGHUP)
+            wanted = (
+                '"changed":["opaque_backend.cold_slack"],'
+                '"needs_restart":["metrics.listen"]'
+            )
+            await deployment.until(lambda: wanted in deployment.log_of("side-a1"))
+            path.write_text(text.replace("cold_slack = 3", "cold_slack = few"))
+            await deployment.until(
+                lambda: '"reload_refused"' in deployment.log_of("side-a1")
+            )
+            await open_flows(deployment)
+
     @run_async
     async def test_tool_shows_a_daemon(self) -> None:
         async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
