Search for flows by key at all agents at once; keep packets of a starting balancer

Change: the agent that is asked first asks all others by the flow's key (12 bytes, many keys a frame) and offers the packet only to those that cannot tell from their tables. A balancer binds the callers' socket before its imports and keeps packets that come before routes and agents are known, for a second.

--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -27,7 +27,7 @@
     ToPeer,
     reset_caller,
 )
-from .peer_frames import Forward, Load, LoadReport, Owned, Registered
+from .peer_frames import Findings, Forward, Load, LoadReport, Owned, Registered
 from .segments import Segment, SegmentCodec, caller_host
 
 
@@ -178,11 +178,25 @@
         self._state.flows.sweep(now, self._state.table.idle_seconds)
         self._locations.sweep(now, max_flow_seconds)
         self._offers.sweep(now)
+        self._search.sweep(now)
+
+    def on_inquiry(self, host: str, flows: list[bytes]) -> list[PassthroughEffect]:
+        """Answer an agent that searches for flows."""
+        return self._search.on_inquiry(host, flows)
+
+    def on_findings(
+        self, host: str, findings: Findings, now: float
+    ) -> list[PassthroughEffect]:
+        """Take the answer of an agent that was asked for flows."""
+        return self._search.on_findings(host, findings, now)
 
     def take_news(self) -> list[PassthroughEffect]:
-        """Return the registrations that have gathered."""
+        """Return the registrations and the questions that have gathered."""
         news = self._locations.take_news()
-        return [ToPeer(host, Registered(flows)) for host, flows in news.items()]
+        effects: list[PassthroughEffect] = [
+            ToPeer(host, Registered(flows)) for host, flows in news.items()
+        ]
+        return effects + self._search.take_inquiries()
 
     def _take_forward(
         self, frame: Forward, segment: Segment, now: float
@@ -235,7 +249,7 @@
         if not segment.opening:
             if flow is not None and flow.owns(original):
                 return []
-            return self._search.ask_next(frame, original, now)
+            return self._search.on_not_held(frame, original, now)
         if flow is not None and flow.state is FlowState.HALF_OPEN:
             self._state.flows.drop(segment.flow)
         return self._openings.take_back(frame, original, now)
--- a/src/berylturn/connection/passthrough_router.py
+++ b/src/berylturn/connection/passthrough_router.py
@@ -19,6 +19,11 @@
 MAX_HINTS = 50_000
 # A hint is asked again after this, so that a moved or dead agent is noticed.
 HINT_REFRESH_SECONDS = 1.0
+# What a starting balancer reads from the platform comes within this; packets that have
+# waited for longer have been sent again.
+HELD_SECONDS = 1.0
+# About 1,300 bytes each; a crowd of a second at the largest deployment of today.
+MAX_HELD = 2_000
 # Agents that got a packet lately are asked for their load; the rest are not.
 INTEREST_SECONDS = 10.0
 
@@ -66,15 +71,24 @@
         self._codec = codec
         self._decide = decide
         self._table: RouteTable | None = None
-        self._directory = Directory()
+        self._directory: Directory | None = None
         self._out: frozenset[str] = frozenset()
         self._hints: dict[bytes, _Hint] = {}
         self._used: dict[str, float] = {}
+        self._held: dict[bytes, tuple[Segment, float]] = {}
 
     @property
     def ready(self) -> bool:
         """Tell whether routes and agents are known."""
-        return self._table is not None and bool(self._directory.by_host)
+        return self._informed and bool(self._agents.by_host)
+
+    @property
+    def _informed(self) -> bool:
+        return self._table is not None and self._directory is not None
+
+    @property
+    def _agents(self) -> Directory:
+        return self._directory or Directory()
 
     @property
     def hints(self) -> int:
@@ -94,7 +108,7 @@
     def interesting(self, now: float) -> list[str]:
         """Return the agents whose load matters to this balancer."""
         for host, at in list(self._used.items()):
-            if now - at > INTEREST_SECONDS or host not in self._directory.by_host:
+            if now - at > INTEREST_SECONDS or host not in self._agents.by_host:
                 del self._used[host]
         return list(self._used)
 
@@ -109,7 +123,7 @@
         if 2 * len(silent) > len(used):
             return []
         return [
-            (self._directory.by_host[host].name, away)
+            (self._agents.by_host[host].name, away)
             for host in silent
             if (away := self._board.silent_seconds(host, now)) > seconds
         ]
@@ -117,12 +131,13 @@
     def on_caller(self, segment: Segment, now: float) -> list[PassthroughEffect]:
         """Take a packet from a caller."""
         table = self._table
-        if table is None:
+        if table is None or self._directory is None:
+            self._hold(segment, now)
             return []
         if segment.opening:
             return self._on_opening(segment, table, now)
         hint = self._hints.get(segment.flow)
-        if hint is not None and hint.host in self._directory.by_host:
+        if hint is not None and hint.host in self._agents.by_host:
             ask = now - hint.confirmed_at > HINT_REFRESH_SECONDS
             if ask:
                 hint.confirmed_at = now
@@ -135,6 +150,18 @@
         )
         return [self._forward(segment, first.host, table, service, True, now)]
 
+    def release(self, now: float) -> list[PassthroughEffect]:
+        """Take the packets that came before routes and agents were known."""
+        if not self._informed or not self._held:
+            return []
+        held, self._held = self._held, {}
+        effects: list[PassthroughEffect] = []
+        for segment, at in held.values():
+            if now - at <= HELD_SECONDS:
+                effects += self.on_caller(segment, now)
+        self._decide("packets_released", b"", held=len(held))
+        return effects
+
     def on_frame(self, host: str, frame: Owned | Load, now: float) -> None:
         """Take what an agent says."""
         self._board.hear(host, frame.load, now)
@@ -144,10 +171,17 @@
             if len(self._hints) > MAX_HINTS:
                 del self._hints[next(iter(self._hints))]
 
+    def _hold(self, segment: Segment, now: float) -> None:
+        """Keep the newest packet of a flow until it can be sent on."""
+        self._held.pop(segment.flow, None)
+        self._held[segment.flow] = (segment, now)
+        if len(self._held) > MAX_HELD:
+            del self._held[next(iter(self._held))]
+
     def _rank_for(self, flow: bytes, table: RouteTable) -> tuple[str, list[AgentEntry]]:
         """Return the likeliest service of an open flow that has agents, and those."""
         for service in table.possible_services(flow):
-            agents = self._directory.by_service.get(service)
+            agents = self._agents.by_service.get(service)
             if agents:
                 return service, rank_agents(flow, self._data_centre, agents)
         return "", []
@@ -161,7 +195,7 @@
         hint = self._hints.get(segment.flow)
         if hint is not None and not self._board.is_suspect(hint.host, now):
             return [self._forward(segment, hint.host, table, service, True, now)]
-        agents = self._directory.by_service.get(service, ())
+        agents = self._agents.by_service.get(service, ())
         ranked = rank_agents(
             segment.flow,
             self._data_centre,
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -60,6 +60,9 @@
         Whether the balancer wants to hear who owns the flow.
     data : bytes
         The packet.
+    inquirer : str
+        IP address of the agent that searches for the flow and wants to hear if the
+        receiver does not hold it; empty when the receiver is to search itself.
     """
 
     origin: str
@@ -69,6 +72,7 @@
     visited: list[str]
     report: bool
     data: bytes
+    inquirer: str = ""
 
 
 class Owned(msgspec.Struct, array_like=True, tag=2):
@@ -111,7 +115,31 @@
     ask: bool
 
 
-PeerFrame = Forward | Owned | Registered | Load | Probe
+class Inquiry(msgspec.Struct, array_like=True, tag=6):
+    """Ask an agent which of some flows it knows."""
+
+    flows: list[bytes]
+
+
+class Findings(msgspec.Struct, array_like=True, tag=7):
+    """Answer an `Inquiry`, or an offer that its server handed back.
+
+    Attributes
+    ----------
+    held : list of tuple of bytes and str
+        Flows whose owner is known, with the owner's IP address.
+    absent : list of bytes
+        Flows that the backend server of the sender certainly does not hold.
+    unsure : list of bytes
+        Flows that its server must be offered a packet of.
+    """
+
+    held: list[tuple[bytes, str]]
+    absent: list[bytes]
+    unsure: list[bytes]
+
+
+PeerFrame = Forward | Owned | Registered | Load | Probe | Inquiry | Findings
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerFrame)
@@ -130,7 +158,9 @@
         raise PacketError(f"unreadable frame: {error}") from error
 
 
-def forward_on(frame: Forward, visited: list[str], service: str = "") -> Forward:
+def forward_on(
+    frame: Forward, visited: list[str], service: str = "", inquirer: str = ""
+) -> Forward:
     """Return the frame for the next agent, which answers the balancer itself."""
     return Forward(
         frame.origin,
@@ -140,4 +170,5 @@
         visited,
         True,
         frame.data,
+        inquirer,
     )
--- a/src/berylturn/platform/start.py
+++ b/src/berylturn/platform/start.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import socket
 import sys
 from collections.abc import Callable
 
@@ -27,19 +28,21 @@
 SETTINGS_VARIABLE = "BERYLTURN_SETTINGS"
 
 
-async def run_balancer(path: str, started: float) -> None:
+async def run_balancer(path: str, started: float, early: socket.socket | None) -> None:
     """Run a balancer until SIGTERM."""
     from ..process.passthrough_balancer import PassthroughBalancer
 
-    daemon = PassthroughBalancer(_make_node(path, PassthroughBalancerSettings, started))
+    node = _make_node(path, PassthroughBalancerSettings, started, early)
+    daemon = PassthroughBalancer(node)
     await daemon.run(refuse_heartbeats, serve_readiness(daemon.is_ready))
 
 
-async def run_agent(path: str, started: float) -> None:
+async def run_agent(path: str, started: float, early: socket.socket | None) -> None:
     """Run an agent until SIGTERM."""
     from ..process.passthrough_agent import PassthroughAgentDaemon
 
-    daemon = PassthroughAgentDaemon(_make_node(path, PassthroughAgentSettings, started))
+    node = _make_node(path, PassthroughAgentSettings, started, early)
+    daemon = PassthroughAgentDaemon(node)
     heartbeats = serve_heartbeats(daemon.on_report, daemon.on_leave)
     await daemon.run(heartbeats, serve_readiness(lambda: True))
 
@@ -47,7 +50,9 @@
 ROLES: dict[str, Callable] = {"balancer": run_balancer, "agent": run_agent}
 
 
-def main(arguments: list[str], started: float) -> None:
+def main(
+    arguments: list[str], started: float, early: socket.socket | None = None
+) -> None:
     """Run the role named on the command line with the platform's settings file.
 
     Parameters
@@ -56,6 +61,8 @@
         One role.
     started : float
         Seconds on the monotonic clock when the process began.
+    early : socket or None
+        Socket for callers' packets that is bound already.
     """
     try:
         if len(arguments) != 1 or arguments[0] not in ROLES:
@@ -63,7 +70,7 @@
         path = os.environ.get(SETTINGS_VARIABLE)
         if not path:
             raise SettingsError(f"set {SETTINGS_VARIABLE} to the settings file's path")
-        uvloop.run(ROLES[arguments[0]](path, started))
+        uvloop.run(ROLES[arguments[0]](path, started, early))
     except BerylturnError as error:
         print(f"berylturn: {error}", file=sys.stderr)
         sys.exit(1)
@@ -71,7 +78,9 @@
         sys.exit(1)
 
 
-def _make_node(path: str, model: type, started: float) -> PassthroughNode:
+def _make_node(
+    path: str, model: type, started: float, early: socket.socket | None
+) -> PassthroughNode:
     file = SettingsFile(path, model)
     settings = file.read()
     clock = SystemClock()
@@ -88,4 +97,5 @@
         decode_configuration,
         started,
         relayed,
+        early,
     )
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -12,7 +12,9 @@
 from ..connection.passthrough import PassthroughAgent
 from ..connection.passthrough_effects import PassthroughEffect, ToBackend
 from ..connection.peer_frames import (
+    Findings,
     Forward,
+    Inquiry,
     Load,
     LoadReport,
     Owned,
@@ -210,6 +212,10 @@
             self._node.sync.note_balancer(host, frame.newest, frame.following)
         elif type(frame) is Owned:
             self._board.hear(host, frame.load, now)
+        elif type(frame) is Inquiry:
+            self._carry_out(self._rules.on_inquiry(host, frame.flows))
+        elif type(frame) is Findings:
+            self._carry_out(self._rules.on_findings(host, frame, now))
 
     def _on_forward(self, frame: Forward, now: float) -> None:
         try:
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -106,9 +106,10 @@
         node = self._node
         if kind is Kind.CONFIGURATION and node.table.version:
             self._rules.set_table(node.table)
-        if kind is not Kind.CONFIGURATION:
-            directory = read_directory(node.view.snapshots[Kind.AGENTS])
-            self._rules.set_directory(directory, node.out)
+        agents = node.view.snapshots[Kind.AGENTS]
+        if kind is not Kind.CONFIGURATION and agents.known:
+            self._rules.set_directory(read_directory(agents), node.out)
+        node.carry_out(self._rules.release(node.now()))
 
     def _describe(self) -> dict[str, object]:
         now = self._node.now()
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 from collections.abc import Callable
 
 import msgspec
@@ -60,6 +61,8 @@
         Seconds on the monotonic clock when the process began.
     relayed : bool
         Whether to leave watching the platform to peers.
+    early : socket or None
+        Socket for callers' packets that was bound at the start of the process.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         decode_table: TableDecoder,
         started: float,
         relayed: bool,
+        early: socket.socket | None = None,
     ) -> None:
         self._file = file
         self.settings = settings
@@ -87,6 +91,7 @@
         self.table = RouteTable()
         self.out: frozenset[str] = frozenset()
         self.started = started
+        self._early = early
         self._decode_table = decode_table
         self._on_change: Callable[[Kind], None] = lambda kind: None
         self._packets: asyncio.DatagramTransport | None = None
@@ -128,7 +133,9 @@
             name: round(value, 4) if type(value) is float else value
             for name, value in fields.items()
         }
-        self.lines.write(event, flow=describe_flow(flow), **rounded)
+        if flow:
+            rounded["flow"] = describe_flow(flow)
+        self.lines.write(event, **rounded)
 
     async def open(
         self,
@@ -141,7 +148,7 @@
         """Open the sockets that both kinds of daemon have, and start to follow."""
         section = self.settings.passthrough
         self._on_change = on_change
-        self._packets = await open_udp(section.packets, on_caller)
+        self._packets = await open_udp(section.packets, on_caller, self._early)
         self._peers = await open_udp(
             (self.bind_host, section.peer_port), self._make_frame_receiver(on_frame)
         )
--- a/src/berylturn/process/sockets.py
+++ b/src/berylturn/process/sockets.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable
 
 from ..errors import SettingsError
+from .early_socket import bind_udp
 
 Address = tuple[str, int]
 Receiver = Callable[[bytes, Address], None]
 
-BUFFER_BYTES = 4_000_000
 PORT_POLL_SECONDS = 0.02
 
 
@@ -36,20 +36,30 @@
     return await open_udp(address, receiver)
 
 
-async def open_udp(address: Address, receiver: Receiver) -> asyncio.DatagramTransport:
-    """Return a bound socket that hands each datagram to `receiver`."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
-    sock.setblocking(False)
-    try:
-        sock.bind(address)
-    except OSError as error:
-        sock.close()
-        raise SettingsError(
-            f"cannot listen on {address[0]}:{address[1]} ({error.strerror}); "
-            "choose a free port"
-        ) from error
+async def open_udp(
+    address: Address, receiver: Receiver, bound: socket.socket | None = None
+) -> asyncio.DatagramTransport:
+    """Return a bound socket that hands each datagram to `receiver`.
+
+    Parameters
+    ----------
+    address : tuple of str and int
+        Where to listen.
+    receiver : callable
+        Takes each datagram and its sender.
+    bound : socket or None
+        A socket that may be bound to the address already; it is used if it is.
+    """
+    if bound is not None and bound.getsockname() == address:
+        sock = bound
+    else:
+        try:
+            sock = bind_udp(address)
+        except OSError as error:
+            raise SettingsError(
+                f"cannot listen on {address[0]}:{address[1]} ({error.strerror}); "
+                "choose a free port"
+            ) from error
     loop = asyncio.get_running_loop()
     transport, _ = await loop.create_datagram_endpoint(
         lambda: _Protocol(receiver), sock=sock
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -8,6 +8,7 @@
 
 import itertools
 import struct
+from collections import Counter
 from dataclasses import dataclass, field
 
 from berylturn.connection.load_board import LoadBoard
@@ -16,7 +17,9 @@
 from berylturn.connection.passthrough_effects import ToBackend, ToCaller, ToPeer
 from berylturn.connection.passthrough_router import Directory, PassthroughRouter
 from berylturn.connection.peer_frames import (
+    Findings,
     Forward,
+    Inquiry,
     Load,
     LoadReport,
     Owned,
@@ -128,6 +131,7 @@
             for number, name in enumerate(agents)
         }
         self.down: set[str] = set()
+        self.carried: Counter[str] = Counter()
         # Agents that cannot tell whether they know all the others.
         self.uncertain: set[str] = set()
         self.cut: set[frozenset[str]] = set()
@@ -163,14 +167,22 @@
         if reported:
             self.report(name)
 
-    def start_balancer(self, name: str, data_centre: str) -> None:
+    def start_balancer(
+        self, name: str, data_centre: str, informed: bool = True
+    ) -> None:
         """Start a balancer that knows nothing of flows."""
-        router = PassthroughRouter(
+        self.routers[name] = PassthroughRouter(
             name, data_centre, LoadBoard(), packets, self._decide
         )
+        if informed:
+            self.inform_balancer(name)
+
+    def inform_balancer(self, name: str) -> None:
+        """Let a balancer know routes and agents."""
+        router = self.routers[name]
         router.set_table(self.table)
         router.set_directory(self.directory(), frozenset())
-        self.routers[name] = router
+        self._run(name, router.release(self.now))
 
     def directory(self) -> Directory:
         """Return the directory that all nodes have."""
@@ -288,6 +300,7 @@
 
     def _deliver(self, sender: str, effect: ToPeer) -> list:
         frame = effect.frame
+        self.carried[type(frame).__name__] += 1
         if effect.host in self.routers:
             if isinstance(frame, Owned | Load):
                 self.routers[effect.host].on_frame(sender, frame, self.now)
@@ -297,6 +310,10 @@
             self.boards[effect.host].hear(sender, frame.load, self.now)
         elif type(frame) is Registered:
             rules.on_registered(sender, frame.flows, self.now)
+        elif type(frame) is Inquiry:
+            return rules.on_inquiry(sender, frame.flows)
+        elif type(frame) is Findings:
+            return rules.on_findings(sender, frame, self.now)
         elif type(frame) is Forward:
             segment = packets.decode_from_caller(frame.data)
             found = rules.on_forward(frame, segment, self.now)
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -159,6 +159,71 @@
         self.assertEqual(ended, mesh.was_reset(flow))
 
 
+class TestStartingBalancer(unittest.TestCase):
+    """Serve packets that come before a balancer knows routes and agents."""
+
+    @params(("in time", 0.4, True), ("too late", 1.1, False))
+    def test_packets_wait(self, _: str, after: float, served: bool) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, BALANCERS)
+        mesh.start_balancer("front-a", "dc-a", informed=False)
+        flow, opened = flow_key(1), flow_key(2)
+        owner = mesh.open_flow("front-b", opened)
+        self.assertEqual("", mesh.open_flow("front-a", flow))
+        self.assertFalse(mesh.ask("front-a", opened, owner))
+        mesh.now += after
+        seen = len(mesh.to_caller)
+        mesh.inform_balancer("front-a")
+        self.assertEqual(2 * served, len(mesh.to_caller) - seen)
+        self.assertFalse(mesh.was_reset(flow))
+
+    def test_opening_is_refused_when_there_is_no_agent(self) -> None:
+        mesh = Mesh({}, BALANCERS)
+        self.assertEqual("", mesh.open_flow("front-a", flow_key(1)))
+        self.assertTrue(mesh.was_reset(flow_key(1)))
+
+
+class TestSearch(unittest.TestCase):
+    """Find flows, or their end, at many agents.
+
+    Load pattern: everything has restarted and all callers send on flows of before.
+    """
+
+    MANY = {f"m{n}": (f"dc-{'abcd'[n % 4]}", "desk") for n in range(40)}
+
+    def test_dead_flow_costs_keys_not_packets(self) -> None:
+        mesh = Mesh(self.MANY, BALANCERS)
+        flow = flow_key(1)
+        owner = mesh.open_flow("front-a", flow)
+        for name in self.MANY:
+            mesh.start_agent(name, reported=False)
+            mesh.backends[name].flows.clear()
+        mesh.now += 2.0
+        for name in self.MANY:
+            mesh.report(name, started_ms=2, cold_seconds=1.0)
+        mesh.carried.clear()
+        mesh.ask("front-a", flow, owner)
+        self.assertTrue(mesh.was_reset(flow))
+        # One from the balancer; before, the packet went to all 40.
+        self.assertEqual(1, mesh.carried["Forward"])
+
+    @params(("found at the next copy", 2), ("not ended while one is silent", 40))
+    def test_restarted_agents_of_which_one_is_silent(self, _: str, lost: int) -> None:
+        for number in range(20):
+            mesh = Mesh(self.MANY, BALANCERS)
+            flow = flow_key(number)
+            owner = mesh.open_flow("front-a", flow)
+            for name in self.MANY:
+                mesh.start_agent(name, reported=False)
+            rest = [name for name in self.MANY if name != owner]
+            mesh.down = {rest[number]} if lost == 2 else {owner}
+            answered = False
+            for _ in range(3):
+                answered = answered or mesh.ask("front-a", flow, owner)
+                mesh.now += 0.2
+            self.assertEqual(lost == 2, answered)
+            self.assertFalse(mesh.was_reset(flow))
+
+
 class TestColdStart(unittest.TestCase):
     """Bound the openings at a server that has just started.
 
