Let one kind of object find out when a failing platform serves again

Change: the kind that failed first goes on asking, with the same pauses; the others wait until it is served, for 2 s at most. Watches wait 29 s in place of 25.

--- a/src/berylturn/platform/objects.py
+++ b/src/berylturn/platform/objects.py
@@ -19,8 +19,8 @@
 
 # The platform answers in milliseconds; a disturbed one takes seconds.
 CALL_SECONDS = 3.0
-# The platform's longest watch is 30 s; keep-alive probes notice silence before that.
-WATCH_MILLISECONDS = 25_000
+# A second less than the longest watch, 30 s; keep-alive probes notice silence before.
+WATCH_MILLISECONDS = 29_000
 WATCH_SECONDS = WATCH_MILLISECONDS / 1000 + 2.0
 
 _KINDS = {
--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -20,6 +20,9 @@
 # Pause after a failed call, doubled up to the longest; spread over the fleet.
 FIRST_PAUSE_SECONDS = 0.1
 LONGEST_PAUSE_SECONDS = 1.0
+# While the platform fails, one kind's calls find out when it serves again; the others
+# wait for that, but not longer than this.
+LONGEST_WAIT_SECONDS = 2.0
 # While the platform turns this node away, a peer is asked this often.
 PEER_PERIOD_SECONDS = 0.5
 PULL_TIMEOUT_SECONDS = 1.0
@@ -192,6 +195,8 @@
         self._confirmed_at = float("-inf")
         self._following: set[Kind] = set()
         self._agents_agreed_at = float("-inf")
+        self._asking: Kind | None = None
+        self._served = asyncio.Event()
         self._pulled_at = float("-inf")
         self._pulling = False
 
@@ -267,6 +272,7 @@
                     revision, objects = await self._store.list_objects(kind)
                     self._view.replace(kind, revision, objects)
                     self._note_answer(kind)
+                    self._note_served(kind)
                     listed = True
                     self._following.add(kind)
                     if lost_at is not None:
@@ -295,9 +301,29 @@
                     self._following.discard(kind)
                     log_warning("platform_lost", kind=kind, error=str(error))
                 listed = False
-                await asyncio.sleep(pause * random.uniform(0.5, 1.0))
+                await self._wait_after_failure(kind, pause)
                 pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
 
+    async def _wait_after_failure(self, kind: Kind, pause: float) -> None:
+        """Wait before the next call, all kinds but one until that one is served."""
+        if self._asking is None:
+            self._asking = kind
+            self._served.clear()
+        if self._asking is kind:
+            await asyncio.sleep(pause * random.uniform(0.5, 1.0))
+            return
+        try:
+            async with asyncio.timeout(LONGEST_WAIT_SECONDS):
+                await self._served.wait()
+        except TimeoutError:
+            # The one that asks may itself be stuck on a silent connection.
+            return
+
+    def _note_served(self, kind: Kind) -> None:
+        if self._asking is kind:
+            self._asking = None
+            self._served.set()
+
     def _note_answer(self, kind: Kind) -> None:
         if kind is Kind.AGENTS:
             self._agents_agreed_at = self._clock.monotonic()
--- /dev/null
+++ b/tests/test_object_view.py
@@ -0,0 +1,81 @@
+"""Following the platform while it fails."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections import Counter
+
+from nose2.tools import params
+
+from berylturn.errors import PlatformUnavailable
+from berylturn.process.clock import SystemClock
+from berylturn.process.object_view import KINDS, Kind, ObjectView, ViewSync
+from berylturn.process.tasks import TaskGroup
+from berylturn.version.snapshots import ObjectChange, StoredObject
+
+PEER_PORT = 1
+DEADLINE_SECONDS = 20.0
+
+
+class FailingStore:
+    """A platform that fails until a test says otherwise.
+
+    Attributes
+    ----------
+    calls : Counter of Kind
+        Calls by kind.
+    served : asyncio.Event
+        Set once the platform serves.
+    """
+
+    def __init__(self) -> None:
+        self.calls: Counter[Kind] = Counter()
+        self.served = asyncio.Event()
+        self.called = asyncio.Condition()
+
+    async def list_objects(self, kind: Kind) -> tuple[int, list[StoredObject]]:
+        self.calls[kind] += 1
+        async with self.called:
+            self.called.notify_all()
+        if not self.served.is_set():
+            raise PlatformUnavailable("the platform answers 503; try again later")
+        return 7, []
+
+    async def watch_objects(
+        self, kind: Kind, revision: int
+    ) -> tuple[int, list[ObjectChange]]:
+        await asyncio.Event().wait()
+        return revision, []
+
+
+class TestOutage(unittest.TestCase):
+    """Ask a platform that is down with few calls, and be back at once.
+
+    Load pattern: all nodes of a deployment lose the platform together; each call is
+    priced and counts toward its rate, refused ones too.
+    """
+
+    @params(3, 4)
+    def test_one_kind_asks_for_all(self, asked: int) -> None:
+        async def play() -> tuple[Counter[Kind], bool]:
+            store, tasks = FailingStore(), TaskGroup()
+            view = ObjectView(lambda kind: None)
+            sync = ViewSync(view, store, tasks, SystemClock(), PEER_PORT, list)
+            sync.start()
+            async with asyncio.timeout(DEADLINE_SECONDS), store.called:
+                await store.called.wait_for(
+                    lambda: max(store.calls.values(), default=0) >= asked
+                )
+            calls = Counter(store.calls)
+            store.served.set()
+            async with asyncio.timeout(DEADLINE_SECONDS):
+                while not sync.connected:
+                    await asyncio.sleep(0.01)
+            await tasks.cancel_all()
+            return calls, view.complete
+
+        calls, complete = asyncio.run(play())
+        self.assertTrue(complete)
+        # Without one that asks for all, each kind would have asked as often.
+        self.assertEqual([1, 1, asked], sorted(calls[kind] for kind in KINDS))
