Make imports run one way, with types that all layers speak of below them

Cause: version and request imported domain types upwards from connection's frames, gate and packets, and connection the clock from process; an agent for passthrough flows imported the token path's packets for one enumeration.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -18,7 +18,7 @@
 import uvloop
 from hdrh.histogram import HdrHistogram
 
-from berylturn.connection.packets import CloseReason
+from berylturn.domain import CloseReason
 from berylturn_standins import scenarios
 from berylturn_standins.deployment import Deployment
 from berylturn_standins.load import (
--- a/bench/queue_orders.py
+++ b/bench/queue_orders.py
@@ -15,7 +15,8 @@
 
 import fire
 
-from berylturn.connection.gate import AdmissionGate, Limits
+from berylturn.connection.gate import AdmissionGate
+from berylturn.domain import Limits
 from berylturn.request.queue import WAIT_MARGIN, RequestQueue, Waiting
 
 SLOTS = 3
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -22,27 +22,24 @@
 import uvloop
 
 from berylturn.caller import Caller
+from berylturn.clock import SystemClock
 from berylturn.connection.admission import AgentRules
 from berylturn.connection.effects import SendToCaller
 from berylturn.connection.frames import (
     Announce,
-    ConfigObject,
     GossipPing,
-    MemberState,
-    Role,
-    Status,
     ToAgent,
     ToCaller,
     open_frame,
     seal_frame,
 )
-from berylturn.connection.gate import AdmissionGate, Limits
+from berylturn.connection.gate import AdmissionGate
 from berylturn.connection.keys import KeyRing, parse_key
 from berylturn.connection.opening import Identity
 from berylturn.connection.packets import Accepted, Open, Ping, encode_packet
 from berylturn.connection.router import route_packet
 from berylturn.connection.token import RouteToken, issue_token
-from berylturn.process.clock import SystemClock
+from berylturn.domain import ConfigObject, Limits, MemberState, Role, Status
 from berylturn.process.logs import LogWriter, log_event
 from berylturn.process.membership import Membership
 from berylturn.process.neighbours import answer_announce
--- a/src/berylturn/caller.py
+++ b/src/berylturn/caller.py
@@ -13,6 +13,7 @@
 from collections.abc import AsyncIterator, Callable
 from datetime import timedelta
 
+from .clock import Clock, SystemClock
 from .connection.caller_flow import (
     DEFAULT_DEADLINE,
     LOST_SILENT_SECONDS,
@@ -23,16 +24,14 @@
 from .connection.packets import (
     FLOW_ID_BYTES,
     Accepted,
-    CloseReason,
     Open,
     Packet,
-    RefusalReason,
     Refused,
     decode_to_caller,
     encode_packet,
 )
+from .domain import CloseReason, RefusalReason
 from .errors import FlowEnded, FlowRefused, NotRun, OutcomeUnknown, PacketError
-from .process.clock import Clock, SystemClock
 from .process.sockets import open_udp
 from .request.retry import Failure, RetryBudget, decide_retry
 
--- a/src/berylturn/connection/admission.py
+++ b/src/berylturn/connection/admission.py
@@ -5,7 +5,7 @@
 
 Examples
 --------
->>> from berylturn.connection.gate import Limits
+>>> from ..domain import Limits
 >>> from berylturn.connection.keys import Key
 >>> from berylturn.connection.packets import encode_packet
 >>> rules = AgentRules(
@@ -26,12 +26,13 @@
 
 from collections.abc import Callable
 
+from ..domain import CloseReason, RefusalReason
 from ..errors import AuthenticationError, PacketError
-from ..request.execution import RequestRules
 from ..request.ledger import Answered, DidNotRun
 from ..request.queue import RequestQueue
 from ..version.view import View
 from .effects import ReleaseFlow, StartRequest
+from .execution import RequestRules
 from .flow import Flow
 from .frames import ToAgent
 from .gate import AdmissionGate
@@ -41,14 +42,12 @@
 from .packets import (
     Cancel,
     Close,
-    CloseReason,
     FlowClosed,
     Missing,
     Open,
     Packet,
     Ping,
     Pong,
-    RefusalReason,
     Request,
     decode_from_caller,
 )
--- a/src/berylturn/connection/caller_flow.py
+++ b/src/berylturn/connection/caller_flow.py
@@ -8,8 +8,9 @@
 from datetime import timedelta
 from typing import Protocol
 
+from ..clock import Clock
+from ..domain import CloseReason
 from ..errors import FlowEnded, OutcomeUnknown
-from ..process.clock import Clock
 from .exchange import Answer, Exchange
 from .inbox import StreamInbox
 from .packets import (
@@ -17,7 +18,6 @@
     AnswerPart,
     Cancel,
     Close,
-    CloseReason,
     FlowClosed,
     Missing,
     Packet,
--- a/src/berylturn/connection/effects.py
+++ b/src/berylturn/connection/effects.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
+from ..domain import RefusalReason
 from .frames import Frame
-from .packets import RefusalReason
 
 Address = tuple[str, int]
 
--- a/src/berylturn/request/execution.py
+++ b/src/berylturn/connection/execution.py
@@ -5,20 +5,15 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from ..connection.effects import CancelRequest, StartRequest
-from ..connection.flow import Flow
-from ..connection.gate import AdmissionGate
-from ..connection.outbox import Outbox
-from ..connection.packets import (
-    AnswerPart,
-    RefusalReason,
-    RequestNotRun,
-    RequestUnknown,
-    Running,
-)
-from ..connection.parts import WINDOW_PARTS
-from .ledger import Answered, DidNotRun, MayHaveRun, Outcome, Verdict
-from .queue import RequestQueue, Waiting
+from ..domain import RefusalReason
+from ..request.ledger import Answered, DidNotRun, MayHaveRun, Outcome, Verdict
+from ..request.queue import RequestQueue, Waiting
+from .effects import CancelRequest, StartRequest
+from .flow import Flow
+from .gate import AdmissionGate
+from .outbox import Outbox
+from .packets import AnswerPart, RequestNotRun, RequestUnknown, Running
+from .parts import WINDOW_PARTS
 
 Key = tuple[bytes, int]
 
--- a/src/berylturn/connection/frames.py
+++ b/src/berylturn/connection/frames.py
@@ -2,36 +2,14 @@
 
 from __future__ import annotations
 
-from enum import IntEnum
-
 import msgspec
 
+from ..domain import ConfigObject, MemberState
 from ..errors import PacketError
 from .keys import KeyRing
 from .token import SIGNATURE_BYTES
 
 
-class Role(IntEnum):
-    """Say what a member is."""
-
-    BALANCER = 0
-    AGENT = 1
-
-
-class Status(IntEnum):
-    """Say how a member is; at equal epochs the higher value wins.
-
-    ALIVE and DRAINING come from the member itself, SUSPECT and DEAD from
-    others, LEFT from the member as its last word.
-    """
-
-    ALIVE = 0
-    DRAINING = 1
-    SUSPECT = 2
-    DEAD = 3
-    LEFT = 4
-
-
 class Frame(msgspec.Struct, array_like=True, frozen=True, gc=False):
     """Base of all frames."""
 
@@ -75,32 +53,6 @@
     sequence: int
 
 
-class MemberState(msgspec.Struct, array_like=True, frozen=True):
-    """Describe one balancer or agent at one moment of its life.
-
-    Attributes
-    ----------
-    name : str
-        Unique name; an agent has the name of its backend server.
-    role : int
-        0 for a balancer, 1 for an agent.
-    address : tuple of str and int
-        UDP address that others send to.
-    epoch : int
-        Raised by the member alone; a higher epoch replaces a lower one.
-    status : int
-        Value of `Status`; at equal epochs the higher one replaces the lower.
-    """
-
-    name: str
-    role: int
-    data_centre: str
-    address: tuple[str, int]
-    epoch: int
-    status: int
-    control: str = ""
-
-
 class Announce(Frame, tag=5):
     """Announce an agent to a balancer.
 
@@ -121,14 +73,6 @@
     selectors: list[str]
 
 
-class ConfigObject(msgspec.Struct, array_like=True, frozen=True):
-    """Carry one configuration object; `body` is JSON, None once deleted."""
-
-    name: str
-    version: int
-    body: bytes | None
-
-
 class AnnounceAck(Frame, tag=6):
     """Answer an announcement; lists are empty when `known` was current."""
 
--- a/src/berylturn/connection/gate.py
+++ b/src/berylturn/connection/gate.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
-
+from ..domain import Limits, RefusalReason
 from .breaker import Breaker
-from .packets import RefusalReason
 
 RATE_BURST_SECONDS = 0.5
 SERVICE_SMOOTHING = 0.1
@@ -15,39 +13,6 @@
 BASELINE_SAMPLES = 30
 
 
-@dataclass(frozen=True)
-class Limits:
-    """State what a backend server bears, from its labels.
-
-    Attributes
-    ----------
-    slots : int
-        Requests that may run at once when warm.
-    cold_limit : int
-        Requests that may run at once in cold start.
-    cold_seconds : float
-        Shortest time in cold start.
-    connections : int
-        Flows that may be open at once.
-    flow_rate : float
-        New flows a second.
-    speed : float
-        Speed of one slot relative to others.
-    """
-
-    slots: int = 1
-    cold_limit: int = 1
-    cold_seconds: float = 10.0
-    connections: int = 2000
-    flow_rate: float = 500.0
-    speed: float = 1.0
-
-    @property
-    def weight(self) -> float:
-        """Return the capacity relative to other backend servers."""
-        return self.slots * self.speed
-
-
 class AdmissionGate:
     """Count what runs and say what may start.
 
@@ -273,21 +238,3 @@
             return False
         self._slow_streak += 1
         return self._slow_streak >= SLOW_STREAK
-
-
-def limits_from_labels(labels: dict[str, str]) -> Limits:
-    """Return the limits that valid labels state; others keep their default."""
-    converters = {
-        "slots": int,
-        "cold-limit": int,
-        "cold-seconds": float,
-        "connections": int,
-        "flow-rate": float,
-        "speed": float,
-    }
-    values = {
-        key.replace("-", "_"): convert(labels[key])
-        for key, convert in converters.items()
-        if key in labels
-    }
-    return replace(Limits(), **values)
--- a/src/berylturn/connection/opening.py
+++ b/src/berylturn/connection/opening.py
@@ -4,15 +4,16 @@
 
 from dataclasses import dataclass
 
-from ..request.execution import RequestRules
+from ..domain import RefusalReason
 from ..version.view import View
 from .effects import FlowDecision, SendFrame
+from .execution import RequestRules
 from .flow import Flow
 from .frames import LoadDigest, ToAgent
 from .gate import AdmissionGate
 from .keys import KeyRing
 from .outbox import Outbox
-from .packets import Accepted, Open, RefusalReason, Refused
+from .packets import Accepted, Open, Refused
 from .siblings import MAX_HOPS, Siblings
 from .token import RouteToken, issue_token
 
--- a/src/berylturn/connection/opening_gate.py
+++ b/src/berylturn/connection/opening_gate.py
@@ -11,8 +11,9 @@
 from collections import deque
 from dataclasses import dataclass
 
+from ..domain import Limits
 from ..version.routes import ServiceLimits
-from .gate import AdmissionGate, Limits
+from .gate import AdmissionGate
 
 # A second, as the platform's cold limit counts, and the spread of delivery.
 COLD_WINDOW_SECONDS = 1.05
--- a/src/berylturn/connection/packets.py
+++ b/src/berylturn/connection/packets.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from enum import IntEnum
-
 import msgspec
 
+from ..domain import CloseReason, RefusalReason
 from ..errors import PacketError
 
 MAX_DATAGRAM_BYTES = 1200
@@ -14,32 +13,6 @@
 MAX_PARTS = 65_536
 
 
-class RefusalReason(IntEnum):
-    """Say why a flow or a request was turned down."""
-
-    FULL = 1
-    DRAINING = 2
-    COLD = 3
-    NO_SERVER = 4
-    UNKNOWN_SERVICE = 5
-    DEADLINE = 6
-    CANCELLED = 7
-    UNREACHABLE = 8
-    SHED = 9
-    RATE = 10
-
-
-class CloseReason(IntEnum):
-    """Say why a flow ended."""
-
-    CALLER = 1
-    DATA_CENTRE_OUT = 2
-    DRAINED = 3
-    FLOW_LOST = 4
-    EXPIRED = 5
-    SERVER_LOST = 6
-
-
 class Packet(msgspec.Struct, array_like=True, frozen=True, gc=False):
     """Base of all packets."""
 
--- a/src/berylturn/connection/router.py
+++ b/src/berylturn/connection/router.py
@@ -4,16 +4,15 @@
 
 from dataclasses import dataclass
 
+from ..domain import CloseReason, RefusalReason
 from ..errors import AuthenticationError, PacketError
 from ..version.placement import Candidate, PlacementTable, place_flow
 from ..version.view import View
 from .keys import KeyRing
 from .packets import (
-    CloseReason,
     FlowClosed,
     Open,
     Packet,
-    RefusalReason,
     Refused,
     decode_from_caller,
     encode_packet,
--- a/src/berylturn/connection/siblings.py
+++ b/src/berylturn/connection/siblings.py
@@ -6,8 +6,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from ..domain import MemberState
 from ..request.retry import RetryBudget
-from .frames import LoadDigest, MemberState
+from .frames import LoadDigest
 
 FRESH_SECONDS = 1.5
 MAX_HOPS = 2
--- a/src/berylturn/connection/snapshot.py
+++ b/src/berylturn/connection/snapshot.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
+from ..domain import RefusalReason
 from ..errors import PacketError
 from ..request.ledger import Answered, DidNotRun, MayHaveRun, Outcome
 from .admission import AgentRules
 from .flow import Flow, Stream
-from .packets import RefusalReason
 
 MAX_ANSWER_BYTES = 400_000
 MAX_SNAPSHOT_BYTES = 750_000
--- a/src/berylturn/daemon.py
+++ b/src/berylturn/daemon.py
@@ -8,8 +8,8 @@
 import fire
 import uvloop
 
+from .clock import SystemClock
 from .errors import BerylturnError
-from .process.clock import SystemClock
 
 EXIT_FAILED = 1
 
--- a/src/berylturn/platform/start.py
+++ b/src/berylturn/platform/start.py
@@ -10,8 +10,8 @@
 
 import uvloop
 
+from ..clock import SystemClock
 from ..errors import BerylturnError, SettingsError
-from ..process.clock import SystemClock
 from ..process.logs import LogWriter
 from ..process.passthrough_node import PassthroughNode
 from ..process.settings import (
--- a/src/berylturn/process/agent.py
+++ b/src/berylturn/process/agent.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from ..clock import Clock, epoch_milliseconds
 from ..connection.admission import AgentRules
 from ..connection.effects import (
     CancelRequest,
@@ -19,20 +20,18 @@
     AnnounceAck,
     Frame,
     LoadDigest,
-    MemberState,
     Probe,
     ProbeAck,
-    Role,
-    Status,
     ToAgent,
     ToCaller,
     open_frame,
     seal_frame,
 )
-from ..connection.gate import AdmissionGate, Limits
+from ..connection.gate import AdmissionGate
 from ..connection.hold import hold_packet
 from ..connection.opening import Identity
 from ..connection.snapshot import read_snapshot, restore_flows, take_snapshot
+from ..domain import Limits, MemberState, Role, Status
 from ..errors import (
     AuthenticationError,
     PacketError,
@@ -40,7 +39,6 @@
 from ..request.queue import RequestQueue
 from ..version.view import View
 from .backend import HttpBackend
-from .clock import Clock, epoch_milliseconds
 from .homes import Homes
 from .logs import LogWriter, log_event, log_warning
 from .metrics import Metrics
--- a/src/berylturn/process/backend.py
+++ b/src/berylturn/process/backend.py
@@ -12,8 +12,8 @@
 
 import aiohttp
 
+from ..clock import Clock
 from ..errors import ConnectError, ConnectionBroken, ShedError
-from .clock import Clock
 
 PROBE_IDLE_SECONDS = 1.0
 PROBE_TIMEOUT_SECONDS = 0.4
--- a/src/berylturn/process/balancer.py
+++ b/src/berylturn/process/balancer.py
@@ -10,27 +10,24 @@
 import grpc.aio
 import msgspec
 
+from ..clock import Clock, epoch_milliseconds
 from ..connection.channel import ChannelAction, ChannelMonitor
 from ..connection.frames import (
     Announce,
-    ConfigObject,
     GossipAck,
     GossipPing,
-    MemberState,
     Probe,
     ProbeAck,
-    Role,
-    Status,
     ToAgent,
     ToCaller,
     open_frame,
     seal_frame,
 )
 from ..connection.router import Drop, Forward, Placed, Reply, route_packet
+from ..domain import ConfigObject, MemberState, Role, Status
 from ..errors import AuthenticationError, PacketError, PlatformError, WatchExpired
 from ..version.selectors import CONFIG_KINDS
 from ..version.view import ConfigChange, View
-from .clock import Clock, epoch_milliseconds
 from .control import (
     ControlError,
     PullRequest,
--- a/src/berylturn/process/control.py
+++ b/src/berylturn/process/control.py
@@ -14,7 +14,7 @@
 import grpc.aio
 import msgspec
 
-from ..connection.frames import ConfigObject, MemberState
+from ..domain import ConfigObject, MemberState
 from ..errors import BerylturnError, SettingsError
 from .settings import TlsSection
 
--- a/src/berylturn/process/directory.py
+++ b/src/berylturn/process/directory.py
@@ -5,11 +5,11 @@
 import asyncio
 import json
 
-from ..connection.frames import ConfigObject, MemberState, Role, Status
+from ..clock import Clock
+from ..domain import ConfigObject, MemberState, Role, Status
 from ..errors import PlatformError
 from ..version.objects import ObjectStore
 from ..version.selectors import BALANCER_PREFIX
-from .clock import Clock
 from .logs import log_warning
 from .membership import Membership
 from .platform import Platform, write_object
--- a/src/berylturn/process/homes.py
+++ b/src/berylturn/process/homes.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from ..connection.frames import MemberState
+from ..domain import MemberState
 
 Address = tuple[str, int]
 
--- a/src/berylturn/process/inspection.py
+++ b/src/berylturn/process/inspection.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from ..connection.frames import Role
+from ..domain import Role
 from ..version.view import View
 from .control import (
     ExplainedServer,
--- a/src/berylturn/process/logs.py
+++ b/src/berylturn/process/logs.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from .clock import Clock
+from ..clock import Clock
 
 FLUSH_SECONDS = 0.1
 MAX_BUFFERED_LINES = 20_000
--- a/src/berylturn/process/membership.py
+++ b/src/berylturn/process/membership.py
@@ -15,14 +15,8 @@
 
 from msgspec.structs import replace
 
-from ..connection.frames import (
-    Frame,
-    GossipAck,
-    GossipPing,
-    MemberState,
-    Role,
-    Status,
-)
+from ..connection.frames import Frame, GossipAck, GossipPing
+from ..domain import MemberState, Role, Status
 from ..version.objects import BUCKETS, DIGEST_BYTES, bucket_of
 
 PROBE_SECONDS = 1.0
--- a/src/berylturn/process/neighbours.py
+++ b/src/berylturn/process/neighbours.py
@@ -6,12 +6,8 @@
 
 import msgspec
 
-from ..connection.frames import (
-    Announce,
-    AnnounceAck,
-    ConfigObject,
-    MemberState,
-)
+from ..connection.frames import Announce, AnnounceAck
+from ..domain import ConfigObject, MemberState
 from ..version.view import View
 from .membership import Membership
 
--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
+from ..clock import Clock
 from ..errors import PlatformError, PlatformUnavailable, WatchExpired
 from ..version.snapshots import KindSnapshot, ObjectChange, StoredObject
-from .clock import Clock
 from .http_client import HttpConnection
 from .logs import log_event, log_warning
 from .tasks import TaskGroup
--- a/src/berylturn/process/operator_tool.py
+++ b/src/berylturn/process/operator_tool.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
+from ..clock import SystemClock
 from ..errors import BerylturnError, SelectorError, SettingsError
 from ..version.selectors import BALANCER_PREFIX
-from .clock import SystemClock
 from .control import ControlError, StatusReply, StatusRequest, call_control
 from .platform import HttpPlatform
 from .settings import TlsSection
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -9,12 +9,12 @@
 
 import msgspec
 
+from ..clock import Clock
 from ..connection.passthrough_effects import PassthroughEffect, ToCaller, ToPeer
 from ..connection.peer_frames import PeerFrame, decode_frame, encode_frame
 from ..connection.segments import SegmentCodec, describe_flow
 from ..errors import PacketError, PlatformError
 from ..version.routes import RouteTable
-from .clock import Clock
 from .http_server import Handler, HttpReply, HttpRequest, serve_http
 from .logs import BoundedLog, LogWriter, log_event, log_warning
 from .metrics import Metrics
--- a/src/berylturn/process/platform.py
+++ b/src/berylturn/process/platform.py
@@ -19,7 +19,7 @@
 from typing import Any, Protocol
 from urllib.parse import quote, urlsplit
 
-from ..connection.frames import ConfigObject
+from ..domain import ConfigObject
 from ..errors import (
     ChangeUnknown,
     ObjectNotFound,
--- a/src/berylturn/process/runner.py
+++ b/src/berylturn/process/runner.py
@@ -5,13 +5,13 @@
 import asyncio
 from collections.abc import Callable
 
+from ..clock import Clock
 from ..connection.admission import AgentRules, split_answer
 from ..connection.effects import CancelRequest, StartRequest
-from ..connection.packets import RefusalReason
+from ..domain import RefusalReason
 from ..errors import ConnectError, ConnectionBroken, ShedError
 from ..request.ledger import DidNotRun, MayHaveRun, Outcome
 from .backend import Backend, Call
-from .clock import Clock
 from .metrics import Metrics
 from .tasks import TaskGroup
 
--- a/src/berylturn/process/succession.py
+++ b/src/berylturn/process/succession.py
@@ -5,12 +5,12 @@
 import asyncio
 from collections.abc import Callable
 
+from ..clock import Clock
 from ..errors import (
     ObjectNotFound,
     PlatformUnavailable,
     VersionConflict,
 )
-from .clock import Clock
 from .platform import Platform, current_version
 
 HANDOVER_PREFIX = "handover/"
--- a/src/berylturn/request/ledger.py
+++ b/src/berylturn/request/ledger.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ..connection.packets import RefusalReason
+from ..domain import RefusalReason
 
 MAX_ENTRIES = 256
 
--- a/src/berylturn/version/objects.py
+++ b/src/berylturn/version/objects.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
-from ..connection.frames import ConfigObject
+from ..domain import ConfigObject
 
 BUCKETS = 64
 DIGEST_BYTES = 8
--- a/src/berylturn/version/selectors.py
+++ b/src/berylturn/version/selectors.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..connection.gate import limits_from_labels
+from ..domain import limits_from_labels
 from ..errors import SelectorError
 
 SERVER_PREFIX = "server/"
--- a/src/berylturn/version/view.py
+++ b/src/berylturn/version/view.py
@@ -5,8 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ..connection.frames import ConfigObject, MemberState, Role, Status
-from ..connection.gate import Limits, limits_from_labels
+from ..domain import ConfigObject, Limits, MemberState, Role, Status, limits_from_labels
 from ..errors import SelectorError
 from .objects import ObjectStore
 from .placement import Candidate, DataCentreChoice, PlacementTable
--- a/src/berylturn_standins/backend.py
+++ b/src/berylturn_standins/backend.py
@@ -11,7 +11,7 @@
 import fire
 from aiohttp import web
 
-from berylturn.process.clock import SystemClock
+from berylturn.clock import SystemClock
 
 from .serving import run_until_signal, serve_http
 
--- a/src/berylturn_standins/background.py
+++ b/src/berylturn_standins/background.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 
 from berylturn.caller import Caller, Session
-from berylturn.connection.packets import CloseReason
+from berylturn.domain import CloseReason
 
 from .deployment import Deployment
 from .load import (
--- a/src/berylturn_standins/demo.py
+++ b/src/berylturn_standins/demo.py
@@ -10,7 +10,7 @@
 import fire
 
 from berylturn.caller import Caller
-from berylturn.process.clock import SystemClock
+from berylturn.clock import SystemClock
 
 from .deployment import Deployment
 from .load import (
--- a/src/berylturn_standins/deployment.py
+++ b/src/berylturn_standins/deployment.py
@@ -15,7 +15,7 @@
 
 import aiohttp
 
-from berylturn.process.clock import SystemClock
+from berylturn.clock import SystemClock
 
 from .plan import BalancerPlan, Plan, ServerPlan
 from .ports import HOST, free_port
--- a/src/berylturn_standins/fabric.py
+++ b/src/berylturn_standins/fabric.py
@@ -9,7 +9,7 @@
 import msgspec
 from aiohttp import web
 
-from berylturn.process.clock import SystemClock
+from berylturn.clock import SystemClock
 from berylturn.process.fabric import FabricMessage
 from berylturn.process.sockets import open_udp
 
--- a/src/berylturn_standins/load.py
+++ b/src/berylturn_standins/load.py
@@ -10,8 +10,8 @@
 from datetime import timedelta
 
 from berylturn.caller import Caller, Session
+from berylturn.clock import SystemClock
 from berylturn.errors import NotRun, OutcomeUnknown
-from berylturn.process.clock import SystemClock
 
 from .backend import answer_body
 
--- a/src/berylturn_standins/opaque_demo.py
+++ b/src/berylturn_standins/opaque_demo.py
@@ -7,7 +7,7 @@
 
 import fire
 
-from berylturn.process.clock import SystemClock
+from berylturn.clock import SystemClock
 
 from .opaque_deployment import SERVICE_ADDRESS, OpaqueDeployment
 
--- a/src/berylturn_standins/soak.py
+++ b/src/berylturn_standins/soak.py
@@ -17,7 +17,7 @@
 
 import fire
 
-from berylturn.process.clock import SystemClock
+from berylturn.clock import SystemClock
 
 from .opaque import CallerFlow, OpaqueBackend, Opening
 from .opaque_deployment import COLD_PER_SECOND, SERVICE_ADDRESS, OpaqueDeployment
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -12,6 +12,7 @@
 
 from nose2.tools import params
 
+from berylturn.clock import SystemClock
 from berylturn.connection.admission import AgentRules
 from berylturn.connection.effects import (
     CancelRequest,
@@ -20,7 +21,7 @@
     StartRequest,
 )
 from berylturn.connection.frames import ToAgent
-from berylturn.connection.gate import AdmissionGate, Limits
+from berylturn.connection.gate import AdmissionGate
 from berylturn.connection.keys import Key, KeyRing
 from berylturn.connection.opening import Identity
 from berylturn.connection.packets import (
@@ -35,8 +36,8 @@
     decode_to_caller,
     encode_packet,
 )
+from berylturn.domain import Limits
 from berylturn.process.backend import SOCKET_OPTIONS, Call, HttpBackend, open_socket
-from berylturn.process.clock import SystemClock
 from berylturn.process.metrics import Metrics
 from berylturn.process.runner import BackendRunner
 from berylturn.process.tasks import TaskGroup
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -8,20 +8,20 @@
 from datetime import timedelta
 
 from berylturn.caller import Caller, CallerFlow, Session
+from berylturn.clock import SystemClock
 from berylturn.connection.packets import (
     Accepted,
     AnswerPart,
     Cancel,
     Close,
     Packet,
-    RefusalReason,
     Refused,
     Request,
     decode_from_caller,
     encode_packet,
 )
+from berylturn.domain import RefusalReason
 from berylturn.errors import FlowRefused, NotRun, OutcomeUnknown
-from berylturn.process.clock import SystemClock
 from berylturn.process.sockets import open_udp
 from berylturn.request.retry import RetryBudget
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -19,16 +19,8 @@
 from berylturn.connection.admission import AgentRules, split_answer
 from berylturn.connection.effects import CancelRequest, SendToCaller, StartRequest
 from berylturn.connection.flow import Flow, Stream
-from berylturn.connection.frames import (
-    ConfigObject,
-    GossipAck,
-    GossipPing,
-    MemberState,
-    Role,
-    Status,
-    ToAgent,
-)
-from berylturn.connection.gate import AdmissionGate, Limits
+from berylturn.connection.frames import GossipAck, GossipPing, ToAgent
+from berylturn.connection.gate import AdmissionGate
 from berylturn.connection.keys import KeyRing, parse_key
 from berylturn.connection.opening import Identity
 from berylturn.connection.packets import (
@@ -49,6 +41,7 @@
     restore_flows,
     take_snapshot,
 )
+from berylturn.domain import ConfigObject, Limits, MemberState, Role, Status
 from berylturn.process.membership import Membership
 from berylturn.request.ledger import MayHaveRun
 from berylturn.request.queue import RequestQueue
--- a/tests/test_object_view.py
+++ b/tests/test_object_view.py
@@ -8,8 +8,8 @@
 
 from nose2.tools import params
 
+from berylturn.clock import SystemClock
 from berylturn.errors import PlatformUnavailable
-from berylturn.process.clock import SystemClock
 from berylturn.process.object_view import KINDS, Kind, ObjectView, ViewSync
 from berylturn.process.tasks import TaskGroup
 from berylturn.version.snapshots import ObjectChange, StoredObject
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -15,26 +15,22 @@
 import berylturn
 from berylturn.connection.breaker import Breaker
 from berylturn.connection.channel import ChannelAction, ChannelMonitor
-from berylturn.connection.frames import (
+from berylturn.connection.frames import LoadDigest
+from berylturn.connection.gate import AdmissionGate
+from berylturn.connection.keys import Key, KeyRing
+from berylturn.connection.packets import Open, Ping, decode_to_caller, encode_packet
+from berylturn.connection.router import Drop, Forward, route_packet
+from berylturn.connection.siblings import Siblings
+from berylturn.connection.token import RouteToken, issue_token
+from berylturn.domain import (
+    CloseReason,
     ConfigObject,
-    LoadDigest,
+    Limits,
     MemberState,
+    RefusalReason,
     Role,
     Status,
 )
-from berylturn.connection.gate import AdmissionGate, Limits
-from berylturn.connection.keys import Key, KeyRing
-from berylturn.connection.packets import (
-    CloseReason,
-    Open,
-    Ping,
-    RefusalReason,
-    decode_to_caller,
-    encode_packet,
-)
-from berylturn.connection.router import Drop, Forward, route_packet
-from berylturn.connection.siblings import Siblings
-from berylturn.connection.token import RouteToken, issue_token
 from berylturn.process.homes import Homes
 from berylturn.request.queue import RequestQueue, Waiting
 from berylturn.request.retry import Failure, RetryBudget, decide_retry
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -8,7 +8,7 @@
 
 from nose2.tools import params
 
-from berylturn.connection.frames import ConfigObject
+from berylturn.domain import ConfigObject
 from berylturn.errors import (
     ChangeUnknown,
     ObjectNotFound,
