Have the stand-in's callers take a reset only near their position

A reset of a refused opening has no position, and the platform's callers ignore resets that are not within 76,800 of theirs, so no flow would have ended there.

Ruled out: a second owner (only side-a1 held the flow), a search (none was made). Change: the stand-in checks the position.

--- a/src/berylturn_standins/opaque.py
+++ b/src/berylturn_standins/opaque.py
@@ -20,6 +20,8 @@
 KEYED_SUM = 0x5EA1
 KEYED_SUM_BYTES = KEYED_SUM.to_bytes(4, "big")
 SUM_AT, BODY_AT = 27, 31
+# The platform's callers take a reset this near to their own position.
+RESET_WINDOW = 76_800
 RETRANSMIT_SECONDS = (0.2, 0.6, 1.4)
 
 
@@ -340,7 +342,7 @@
         waiter, expected = self._waiting.get((header.target, header.source), (None, 0))
         if waiter is None or waiter.done():
             return
-        if header.flags & RST or expected in (None, header.sequence):
+        if expected in (None, header.sequence) or _is_reset_of(header, expected):
             waiter.set_result((header, body))
 
 
@@ -411,6 +413,15 @@
         self._take(data)
 
 
+def _is_reset_of(header: Header, expected: int) -> bool:
+    """Tell whether a packet resets an open flow at its caller's position.
+
+    The reset of a refused opening, which knows no position, does not end a flow that a
+    copy of the opening has opened elsewhere.
+    """
+    return bool(header.flags & RST) and abs(header.sequence - expected) <= RESET_WINDOW
+
+
 def _pack_host(host: str) -> bytes:
     return bytes(int(part) for part in host.split("."))
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,11 @@
     (37, "the same at another server, with pauses and a cut between"),
     (20, "SIGHUP before the first instruction of a daemon; the soak waits now"),
     (3, "copies of an earlier answer; the callers' end drops them now"),
+    (
+        6,
+        "a frozen agent refused an opening late that a copy had opened elsewhere; its"
+        " reset has no position, and the callers' end ignores it now",
+    ),
     (35, "an agent that had just started ended flows before it knew the others"),
 ]
 
