Offer a searched flow to all unsure agents when one agent is silent

Cause (read in the code, then a test): with one agent silent, each copy of a packet was offered to one unsure agent only, and the search began anew after 0.5 s; a flow whose owner is late in the order was never found while a host was dead.

Change: once a copy has come, whoever has not answered is not waited for, and all unsure agents are offered the packet one after the other. Searches are bounded (5,000). The test of a silent agent now has owners at any place of the order and a balancer without hints; it failed first.

--- a/src/berylturn/connection/flow_inquiry.py
+++ b/src/berylturn/connection/flow_inquiry.py
@@ -18,6 +18,8 @@
 INQUIRY_SECONDS = 0.5
 # Keys of one frame, so that it fits into a datagram of 1,200 bytes.
 MAX_KEYS = 80
+# About 1.5 KB each with the packet that waits.
+MAX_INQUIRIES = 5_000
 
 
 @dataclass(slots=True)
@@ -38,6 +40,9 @@
         IP address of the agent that has the packet now, if any.
     silent : int
         Agents that were offered the packet and did not answer.
+    copied : bool
+        Whether a copy of the packet has come; whoever has not answered by then is not
+        waited for.
     """
 
     frame: Forward
@@ -47,6 +52,7 @@
     unsure: set[str] = field(default_factory=set)
     offered: str = ""
     silent: int = 0
+    copied: bool = False
 
 
 class Inquiries:
@@ -72,6 +78,7 @@
         if inquiry is None or now - inquiry.asked_at > INQUIRY_SECONDS:
             return None
         inquiry.frame, inquiry.segment = frame, segment
+        inquiry.copied = True
         if inquiry.offered:
             inquiry.offered = ""
             inquiry.silent += 1
@@ -84,6 +91,8 @@
         waiting = set(hosts)
         self._open.pop(segment.flow, None)
         self._open[segment.flow] = Inquiry(frame, segment, waiting, now)
+        if len(self._open) > MAX_INQUIRIES:
+            del self._open[next(iter(self._open))]
         for host in waiting:
             self._unsent.setdefault(host, []).append(segment.flow)
 
@@ -111,7 +120,9 @@
             inquiry.offered = ""
         elif not absent:
             inquiry.unsure.add(host)
-        return None if inquiry.waiting or inquiry.offered else inquiry
+        if inquiry.offered or (inquiry.waiting and not inquiry.copied):
+            return None
+        return inquiry
 
     def take_unsent(self) -> list[tuple[str, list[bytes]]]:
         """Return the keys that have gathered, by the IP address to ask."""
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -212,14 +212,18 @@
         for number in range(20):
             mesh = Mesh(self.MANY, BALANCERS)
             flow = flow_key(number)
+            # The owner may have any place in the flow's order.
+            for name in self.MANY:
+                mesh.tell_load("front-a", name, 0.0 if name == f"m{number}" else 9.0)
             owner = mesh.open_flow("front-a", flow)
+            self.assertEqual(f"m{number}", owner)
             for name in self.MANY:
                 mesh.start_agent(name, reported=False)
             rest = [name for name in self.MANY if name != owner]
             mesh.down = {rest[number]} if lost == 2 else {owner}
             answered = False
             for _ in range(3):
-                answered = answered or mesh.ask("front-a", flow, owner)
+                answered = answered or mesh.ask("front-b", flow, owner)
                 mesh.now += 0.2
             self.assertEqual(lost == 2, answered)
             self.assertFalse(mesh.was_reset(flow))
