--- a/src/berylturn_standins/soak_play.py
+++ b/src/berylturn_standins/soak_play.py
@@ -189,8 +189,7 @@
         deployment = self.deployment
         if act.fault is Fault.HANGUP:
             # Before its first instruction no program can handle a signal.
-            started = deployment.log_of(name).count('"event":"started"')
-            if started == self._starts[name]:
+            if self._has_started(name):
                 deployment.processes[name].send_signal(signal.SIGHUP)
         elif act.fault is Fault.PAUSE:
             process = deployment.processes[name]
@@ -201,8 +200,10 @@
             term = act.fault is Fault.TERM
             number = signal.SIGTERM if term else signal.SIGKILL
             sent_at = self.now
+            # A daemon that has not opened its sockets yet has nothing to finish.
+            graceful = term and self._has_started(name)
             status = await deployment.stop(name, number)
-            if status != (0 if term else -signal.SIGKILL):
+            if status != (0 if graceful else -number) and not (term and status == 0):
                 self._break(f"{name}: ended with {status} after {number.name}")
             if self.now - sent_at > GRACE_SECONDS:
                 self._break(f"{name}: took {self.now - sent_at:.1f} s to stop")
@@ -212,6 +213,10 @@
             self._starts[name] += 1
         self._busy.discard(name)
 
+    def _has_started(self, name: str) -> bool:
+        lines = self.deployment.log_of(name).count('"event":"started"')
+        return lines == self._starts[name]
+
     async def _trouble_platform(self, mode: str, act: Act) -> None:
         trouble = self.deployment.platform.trouble
         if trouble.mode:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,7 @@
         "a frozen agent refused an opening late that a copy had opened elsewhere; its"
         " reset has no position, and the callers' end ignores it now",
     ),
+    (105, "SIGTERM while a daemon was still importing; it ends with -15 then"),
     (35, "an agent that had just started ended flows before it knew the others"),
 ]
 
