Give pending inquiries a name of their own and drop what nothing reads

Two types were called Inquiry, the frame and the state of a search, and one was imported under an alias; the state is PendingInquiry now. A count of searches was never read. Only balancers confirm that the platform serves them, so note_peer lost that parameter and note_balancer notes it.

--- a/src/berylturn/connection/flow_inquiry.py
+++ b/src/berylturn/connection/flow_inquiry.py
@@ -23,7 +23,7 @@
 
 
 @dataclass(slots=True)
-class Inquiry:
+class PendingInquiry:
     """One flow that is asked for.
 
     Attributes
@@ -59,17 +59,16 @@
     """Keep the flows that are asked for, and the keys that wait to be sent."""
 
     def __init__(self) -> None:
-        self._open: dict[bytes, Inquiry] = {}
+        self._open: dict[bytes, PendingInquiry] = {}
         self._unsent: dict[str, list[bytes]] = {}
 
-    def __len__(self) -> int:
-        return len(self._open)
-
-    def get(self, flow: bytes) -> Inquiry | None:
+    def get(self, flow: bytes) -> PendingInquiry | None:
         """Return the inquiry for a flow, or None."""
         return self._open.get(flow)
 
-    def renew(self, frame: Forward, segment: Segment, now: float) -> Inquiry | None:
+    def renew(
+        self, frame: Forward, segment: Segment, now: float
+    ) -> PendingInquiry | None:
         """Put a newer packet of the flow into its inquiry and return that.
 
         An agent that was offered an earlier packet without an answer is passed over.
@@ -90,7 +89,7 @@
         """Ask some agents for the flow of a packet."""
         waiting = set(hosts)
         self._open.pop(segment.flow, None)
-        self._open[segment.flow] = Inquiry(frame, segment, waiting, now)
+        self._open[segment.flow] = PendingInquiry(frame, segment, waiting, now)
         if len(self._open) > MAX_INQUIRIES:
             del self._open[next(iter(self._open))]
         for host in waiting:
@@ -100,7 +99,7 @@
         """Forget an inquiry whose answer is known."""
         self._open.pop(flow, None)
 
-    def note(self, host: str, flow: bytes, absent: bool) -> Inquiry | None:
+    def note(self, host: str, flow: bytes, absent: bool) -> PendingInquiry | None:
         """Take one agent's answer; return the inquiry if there is a next step.
 
         Parameters
--- a/src/berylturn/connection/flow_search.py
+++ b/src/berylturn/connection/flow_search.py
@@ -4,13 +4,12 @@
 
 from ..version.owners import rank_agents
 from .agent_state import AgentState
-from .flow_inquiry import Inquiries, Inquiry
+from .flow_inquiry import Inquiries, PendingInquiry
 from .flow_locations import FlowLocations
 from .flow_table import FlowState
 from .offers import Offers
 from .passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
-from .peer_frames import Findings, Forward, forward_on
-from .peer_frames import Inquiry as InquiryFrame
+from .peer_frames import Findings, Forward, Inquiry, forward_on
 from .segments import Segment
 
 
@@ -39,11 +38,6 @@
         self._locations = locations
         self._inquiries = Inquiries()
 
-    @property
-    def searching(self) -> int:
-        """Return how many flows are asked for."""
-        return len(self._inquiries)
-
     def look_for(
         self, frame: Forward, segment: Segment, now: float
     ) -> list[PassthroughEffect]:
@@ -118,8 +112,7 @@
     def take_inquiries(self) -> list[PassthroughEffect]:
         """Return the questions that have gathered."""
         return [
-            ToPeer(host, InquiryFrame(keys))
-            for host, keys in self._inquiries.take_unsent()
+            ToPeer(host, Inquiry(keys)) for host, keys in self._inquiries.take_unsent()
         ]
 
     def sweep(self, now: float) -> None:
@@ -137,7 +130,9 @@
         self._state.board.ask(owner, now)
         return [ToPeer(owner, forward_on(frame, visited=visited))]
 
-    def _offer_next(self, inquiry: Inquiry, now: float) -> list[PassthroughEffect]:
+    def _offer_next(
+        self, inquiry: PendingInquiry, now: float
+    ) -> list[PassthroughEffect]:
         """Offer the packet to the next agent that is unsure, the likeliest first."""
         segment, frame = inquiry.segment, inquiry.frame
         # A node that has just started does not know which services an address led
--- a/src/berylturn/connection/opening_gate.py
+++ b/src/berylturn/connection/opening_gate.py
@@ -22,7 +22,8 @@
 # The first report after a start comes within one interval and some delay.
 REPORT_DUE = 1.3
 # From the start of a process to its first instruction: 33 ms on 0.645 of a core.
-# Whatever a server has from after that came by this process, not by a predecessor.
+# A predecessor was gone by then, so a server that started later has only this process's
+# flows.
 INTERPRETER_START_SECONDS = 0.04
 # Silence of the newer incarnation after which an older start time is believed: a
 # server whose clock was set back starts with one.
--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -236,9 +236,11 @@
         """
         if not self._view.lacks(newest):
             self._agents_agreed_at = self._clock.monotonic()
-        self.note_peer(host, newest, following)
+        if following:
+            self._confirmed_at = self._clock.monotonic()
+        self.note_peer(host, newest)
 
-    def note_peer(self, host: str, newest: list[int], following: bool = False) -> None:
+    def note_peer(self, host: str, newest: list[int]) -> None:
         """Pull from a peer that knows of a change which is missing here.
 
         Parameters
@@ -247,11 +249,7 @@
             IP address of the peer.
         newest : list of int
             Newest revision of each kind that it knows.
-        following : bool
-            Whether the platform serves its watches now.
         """
-        if following:
-            self._confirmed_at = self._clock.monotonic()
         if self._view.lacks(newest):
             self.pull_from(host)
 
