Ask agents for their flows after the platform has lost their entries

The platform lost an agent's entry after the agent that knew the owner of its flows had been killed; until the entry was back, every agent in the directory answered that it did not hold the flow, and the search reset it.

Change: agents whose entries vanish stay in force for 3 s, unless their last report said that the server is gone or their address is in use again; a node whose first directory came after an outage ends no flow for that long.

Before: test_flows_outlive_a_lost_entry and the object view's table failed.

--- a/src/berylturn/connection/agent_state.py
+++ b/src/berylturn/connection/agent_state.py
@@ -79,4 +79,5 @@
             newest=self.newest,
             leaving=self.leaving,
             cold=self.gate.is_cold(now),
+            backend_left=self.gate.has_left,
         )
--- a/src/berylturn/connection/load_board.py
+++ b/src/berylturn/connection/load_board.py
@@ -119,6 +119,11 @@
         report = self.report_of(host, now)
         return report is not None and report.cold
 
+    def has_left(self, host: str) -> bool:
+        """Tell whether an agent's last word was that its server is gone."""
+        peer = self._peers.get(host)
+        return peer is not None and peer.report is not None and peer.report.backend_left
+
     def pressure(self, host: str, now: float) -> float:
         """Return the share of its slots that a server has busy; 0 if unknown."""
         peer = self._peers.get(host)
--- a/src/berylturn/connection/passthrough_router.py
+++ b/src/berylturn/connection/passthrough_router.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+from ..version.agent_directory import Directory
 from ..version.owners import AgentEntry, rank_agents
 from ..version.routes import RouteTable
 from .load_board import LoadBoard, choose_for_opening
@@ -34,14 +35,6 @@
     confirmed_at: float
 
 
-@dataclass
-class Directory:
-    """Agents in force, by service and by IP address."""
-
-    by_service: dict[str, list[AgentEntry]] = field(default_factory=dict)
-    by_host: dict[str, AgentEntry] = field(default_factory=dict)
-
-
 class PassthroughRouter:
     """Send callers' packets on to agents.
 
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -32,6 +32,8 @@
         Whether the agent itself is about to stop.
     cold : bool
         Whether the server is in cold start.
+    backend_left : bool
+        Whether the server has said that it is gone, with all its flows.
     """
 
     accepting: bool
@@ -42,6 +44,7 @@
     newest: list[int]
     leaving: bool = False
     cold: bool = False
+    backend_left: bool = False
 
 
 class Forward(msgspec.Struct, array_like=True, tag=1):
--- a/src/berylturn/process/agent_entries.py
+++ b/src/berylturn/process/agent_entries.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
 import msgspec
 
-from ..connection.passthrough_router import Directory
 from ..errors import PlatformError, VersionConflict
 from ..version.owners import AgentEntry
 from ..version.snapshots import KindSnapshot
@@ -23,22 +21,18 @@
 _decoder = msgspec.json.Decoder(AgentEntry)
 
 
-def read_directory(
-    snapshot: KindSnapshot, is_ours: Callable[[AgentEntry], bool] = lambda entry: True
-) -> Directory:
-    """Return the agents in a snapshot; unreadable entries name nobody."""
-    directory = Directory()
+def read_entries(snapshot: KindSnapshot) -> list[AgentEntry]:
+    """Return the entries in a snapshot; unreadable ones name nobody."""
+    entries = []
     for item in snapshot.objects.values():
         try:
             entry = _decoder.decode(item.body)
         except msgspec.DecodeError as error:
             log_warning("entry_unreadable", name=item.name, error=str(error))
             continue
-        if entry.name != item.name or not is_ours(entry):
-            continue
-        directory.by_service.setdefault(entry.service, []).append(entry)
-        directory.by_host[entry.host] = entry
-    return directory
+        if entry.name == item.name:
+            entries.append(entry)
+    return entries
 
 
 class EntryKeeper:
--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -12,6 +12,7 @@
 
 from ..clock import Clock
 from ..errors import PlatformError, PlatformUnavailable, WatchExpired
+from ..version.agent_directory import LAPSE_SECONDS
 from ..version.snapshots import KindSnapshot, ObjectChange, StoredObject
 from .http_client import HttpConnection
 from .logs import log_event, log_warning
@@ -195,6 +196,7 @@
         self._confirmed_at = float("-inf")
         self._following: set[Kind] = set()
         self._agents_agreed_at = float("-inf")
+        self._entries_due = float("-inf")
         self._asking: Kind | None = None
         self._served = asyncio.Event()
         self._pulled_at = float("-inf")
@@ -214,7 +216,8 @@
             Seconds on the monotonic clock.
         """
         known = self._view.snapshots[Kind.AGENTS].known
-        return known and now - self._agents_agreed_at < AGREED_SECONDS
+        agreed = now - self._agents_agreed_at < AGREED_SECONDS
+        return known and agreed and now >= self._entries_due
 
     def start(self) -> None:
         """Start following."""
@@ -268,6 +271,8 @@
             try:
                 if not listed:
                     revision, objects = await self._store.list_objects(kind)
+                    if lost_at is not None:
+                        self._await_entries(kind)
                     self._view.replace(kind, revision, objects)
                     self._note_answer(kind)
                     self._note_served(kind)
@@ -326,6 +331,11 @@
         if kind is Kind.AGENTS:
             self._agents_agreed_at = self._clock.monotonic()
 
+    def _await_entries(self, kind: Kind) -> None:
+        """Allow for entries that the platform lost before this node had seen them."""
+        if kind is Kind.AGENTS and not self._view.snapshots[kind].known:
+            self._entries_due = self._clock.monotonic() + LAPSE_SECONDS
+
     def _is_relayed(self) -> bool:
         silent = self._clock.monotonic() - self._confirmed_at
         return self._relayed and silent < RELAY_SECONDS
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -23,9 +23,10 @@
     Registered,
 )
 from ..errors import PacketError, PlatformError
+from ..version.agent_directory import AgentDirectory, Directory
 from ..version.owners import AgentEntry
 from ..version.routes import ServiceLimits
-from .agent_entries import EntryKeeper, read_directory
+from .agent_entries import EntryKeeper, read_entries
 from .http_server import Handler
 from .logs import log_event, log_warning
 from .object_view import Kind
@@ -71,6 +72,7 @@
             lambda seconds: node.metrics.time("response", seconds),
             node.sync.knows_all_agents,
         )
+        self._directory = AgentDirectory(self._board.has_left)
         self._keeper = EntryKeeper(node.settings.node.name, node.view, node.store)
         self._backend: asyncio.DatagramTransport | None = None
         self._balancers: dict[str, _Balancer] = {}
@@ -159,7 +161,7 @@
             float(report.slots),
         )
         self._keeper.want(entry)
-        self._set_directory()
+        self._read_directory()
 
     def _describe(self) -> dict[str, object]:
         now = self._node.now()
@@ -265,17 +267,22 @@
         else:
             own = node.settings.node.data_centre
             self._gate.set_evacuated(own in node.out, node.now())
-            self._set_directory()
+            self._read_directory()
             self._tell_if_changed()
 
     def _set_limits(self, service: str) -> None:
         limits = self._node.table.services.get(service, ServiceLimits())
         self._gate.set_limits(limits, self._node.now())
 
-    def _set_directory(self) -> None:
+    def _read_directory(self) -> None:
+        entries = read_entries(self._node.view.snapshots[Kind.AGENTS])
+        self._set_directory(self._directory.replace(entries, self._node.now()))
+
+    def _set_directory(self, directory: Directory) -> None:
         node = self._node
         report = self._gate.report
-        directory = read_directory(node.view.snapshots[Kind.AGENTS])
+        if self._directory.lapsed:
+            log_event("entries_lapsed", names=self._directory.lapsed)
         self._board.keep_only(directory.by_host.keys())
         self._rules.set_agents(directory.by_service, node.out)
         service = report.service if report is not None else ""
@@ -307,6 +314,9 @@
             await asyncio.sleep(REPORT_SECONDS)
             now = node.now()
             self._rules.smooth_load(now)
+            directory = self._directory.expire(now)
+            if directory is not None:
+                self._set_directory(directory)
             for host, known in list(self._balancers.items()):
                 if now - known.heard_at > BALANCER_SECONDS:
                     del self._balancers[host]
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -10,7 +10,8 @@
 from ..connection.peer_frames import Load, Owned, PeerFrame, Probe
 from ..connection.segments import Segment
 from ..errors import PacketError
-from .agent_entries import read_directory, remove_dead_entry
+from ..version.agent_directory import AgentDirectory, Directory
+from .agent_entries import read_entries, remove_dead_entry
 from .http_server import Handler
 from .logs import log_event
 from .object_view import Kind
@@ -51,6 +52,7 @@
             node.codec,
             node.decide,
         )
+        self._directory = AgentDirectory(self._board.has_left)
         self._stopping = False
         self._was_ready = False
         self._last_packet = node.now()
@@ -108,9 +110,15 @@
             self._rules.set_table(node.table)
         agents = node.view.snapshots[Kind.AGENTS]
         if kind is not Kind.CONFIGURATION and agents.known:
-            self._rules.set_directory(read_directory(agents), node.out)
+            entries = read_entries(agents)
+            self._set_directory(self._directory.replace(entries, node.now()))
         node.carry_out(self._rules.release(node.now()))
 
+    def _set_directory(self, directory: Directory) -> None:
+        self._rules.set_directory(directory, self._node.out)
+        if self._directory.lapsed:
+            log_event("entries_lapsed", names=self._directory.lapsed)
+
     def _describe(self) -> dict[str, object]:
         now = self._node.now()
         return {
@@ -130,6 +138,9 @@
         while True:
             await asyncio.sleep(PROBE_SECONDS)
             now = node.now()
+            directory = self._directory.expire(now)
+            if directory is not None:
+                self._set_directory(directory)
             for host in self._rules.interesting(now):
                 age = self._board.age_of(host, now)
                 ask = age is None or age > REPORT_AGE_SECONDS
--- a/src/berylturn_standins/opaque_deployment.py
+++ b/src/berylturn_standins/opaque_deployment.py
@@ -197,8 +197,12 @@
     async def read_metrics(self, name: str) -> str:
         """Return the metrics page of a daemon."""
         url = f"http://{self.hosts[name]}:{self.ports.metrics}/metrics"
-        async with self.http.get(url) as answer:
-            return await answer.text()
+        try:
+            async with self.http.get(url) as answer:
+                return await answer.text()
+        except aiohttp.ClientConnectionError:
+            # The daemon is starting.
+            return ""
 
     async def inspect(self, name: str) -> dict:
         """Return what the command-line tool prints of a daemon as JSON."""
@@ -214,8 +218,9 @@
         output, _ = await asyncio.wait_for(tool.communicate(), START_SECONDS)
         return json.loads(output)
 
-    async def _until_directory_known(self, name: str) -> None:
-        wanted = f"berylturn_objects_agents {len(self.agents)}\n"
+    async def until_directory_has(self, name: str, entries: int) -> None:
+        """Wait until a daemon's copy of the directory has so many entries."""
+        wanted = f"berylturn_objects_agents {entries}\n"
         async with asyncio.timeout(START_SECONDS):
             while wanted not in await self.read_metrics(name):
                 await asyncio.sleep(POLL_SECONDS)
@@ -239,7 +244,7 @@
             lambda: self.platform.names("berylturn-agents") == set(self.agents)
         )
         for name in [*self.balancers, *self.agents]:
-            await self._until_directory_known(name)
+            await self.until_directory_has(name, len(self.agents))
 
     async def _start_proxies(self) -> None:
         fronts = {host: self.fronts[name] for name, host in self.hosts.items()}
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -15,7 +15,7 @@
 from berylturn.connection.opening_gate import BackendReport, GateBounds, OpeningGate
 from berylturn.connection.passthrough import PassthroughAgent
 from berylturn.connection.passthrough_effects import ToBackend, ToCaller, ToPeer
-from berylturn.connection.passthrough_router import Directory, PassthroughRouter
+from berylturn.connection.passthrough_router import PassthroughRouter
 from berylturn.connection.peer_frames import (
     Findings,
     Forward,
@@ -26,6 +26,7 @@
     Registered,
 )
 from berylturn.platform import packets
+from berylturn.version.agent_directory import Directory
 from berylturn.version.owners import AgentEntry
 from berylturn.version.routes import Route, RouteTable, ServiceLimits, ServiceShare
 
@@ -188,8 +189,7 @@
         """Return the directory that all nodes have."""
         directory = Directory()
         for entry in self.entries:
-            directory.by_service.setdefault(entry.service, []).append(entry)
-            directory.by_host[entry.host] = entry
+            directory.add(entry)
         return directory
 
     def report(self, name: str, started_ms: int = 1, **changes: object) -> bool:
--- a/tests/test_object_view.py
+++ b/tests/test_object_view.py
@@ -15,6 +15,8 @@
 from berylturn.version.snapshots import ObjectChange, StoredObject
 
 PEER_PORT = 1
+# Lost entries are back within two seconds.
+BACK_SECONDS = 2.0
 DEADLINE_SECONDS = 20.0
 
 
@@ -79,3 +81,31 @@
         self.assertTrue(complete)
         # Without one that asks for all, each kind would have asked as often.
         self.assertEqual([1, 1, asked], sorted(calls[kind] for kind in KINDS))
+
+
+class TestLostEntries(unittest.TestCase):
+    """A node that finds the platform after an outage may not see all entries yet."""
+
+    @params(("platform was there", True), ("platform was away", False))
+    def test_first_directory(self, _: str, there: bool) -> None:
+        async def play() -> tuple[bool, bool]:
+            store, tasks, clock = FailingStore(), TaskGroup(), SystemClock()
+            if there:
+                store.served.set()
+            sync = ViewSync(
+                ObjectView(lambda kind: None), store, tasks, clock, PEER_PORT, list
+            )
+            sync.start()
+            async with asyncio.timeout(DEADLINE_SECONDS), store.called:
+                await store.called.wait_for(lambda: Kind.AGENTS in store.calls)
+            store.served.set()
+            async with asyncio.timeout(DEADLINE_SECONDS):
+                while not sync.connected:
+                    await asyncio.sleep(0.01)
+            now = clock.monotonic()
+            await tasks.cancel_all()
+            # A balancer that agrees later does not know more than the platform.
+            sync.note_balancer("peer", [0, 0, 0], following=True)
+            return sync.knows_all_agents(now), sync.knows_all_agents(now + BACK_SECONDS)
+
+        self.assertEqual((there, there), asyncio.run(play()))
--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -185,6 +185,28 @@
             )
             await open_flows(deployment)
 
+    @run_async
+    async def test_flows_outlive_a_lost_entry(self) -> None:
+        async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
+            second, first = (deployment.hosts[name] for name in BALANCERS)
+            deployment.router.choose = lambda flow: first
+            flows = await open_flows(deployment)
+            for name in ("side-a1", "side-a2"):
+                # Those that were told who owns a flow have forgotten it.
+                await deployment.stop(name, signal.SIGKILL)
+                await deployment.start(name)
+                await deployment.until_directory_has(name, len(AGENTS))
+            # The agent that has lost its entry cannot write it again for now.
+            deployment.platform.trouble.hosts = {deployment.hosts["side-b1"]}
+            deployment.platform.trouble.mode = "busy"
+            await deployment.platform.remove("berylturn-agents", "side-b1")
+            others = [name for name in deployment.hosts if name != "side-b1"]
+            for name in others:
+                await deployment.until_directory_has(name, len(AGENTS) - 1)
+            # This balancer has no hint of any flow, so the agents search for it.
+            deployment.router.choose = lambda flow: second
+            self.assertTrue(await all_answered(flows), deployment.explain())
+
     @run_async
     async def test_restarted_server_ends_its_flows_at_once(self) -> None:
         async with OpaqueDeployment(BALANCERS, {"s": ("dc-a", "desk")}) as deployment:
