Keep the gate closed after a refused port until the server starts anew

Trace: the server's port was closed (backend_refused, gate down); 0.1 s later a report of the same start arrived and opened the gate as warm (report_age 0.0142 in flow_admitted, 12 openings in 1 ms), and the server came back cold with its clock set back. A packet that was still under way from the ended server opened the gate in the same way. Ruled out: the doubted reports themselves, which begin a cold start at once (flow_waits with reason cold right after the first).

Change: a closed port ends the start that is held; only a report of another start, or reports that still come 2.5 s later, open the gate. The method that could be told either way is now on_refused.

Before: the table's first case failed (the gate was open after 0.3 s). After: it holds.

--- a/src/berylturn/connection/opening_gate.py
+++ b/src/berylturn/connection/opening_gate.py
@@ -26,7 +26,8 @@
 # flows.
 INTERPRETER_START_SECONDS = 0.04
 # Silence of the newer incarnation after which an older start time is believed: a
-# server whose clock was set back starts with one.
+# server whose clock was set back starts with one. Reports of a start whose port was
+# closed are late ones for as long.
 SUPERSEDED_SECONDS = 2.5
 # A backend server that runs answers an opening within milliseconds.
 UNANSWERED_SECONDS = 0.25
@@ -114,6 +115,7 @@
         self._cold_openings: deque[float] = deque()
         self._unanswered: dict[bytes, float] = {}
         self._lost_flow_at = float("-inf")
+        self._refused_at = float("-inf")
 
     @property
     def report(self) -> BackendReport | None:
@@ -164,7 +166,8 @@
         if report.cold_seconds <= 0 and not restarted:
             self._cold_until = min(self._cold_until, max(now, self._warm_floor))
         self._flows.draining = report.draining
-        self._flows.down = False
+        if self._flows.down and not self._is_late(report, held, now):
+            self._flows.down = False
         return restarted
 
     def leave(self, identifier: str) -> bool:
@@ -190,9 +193,11 @@
         if recent:
             self._spare(self._limits.cold_seconds, now)
 
-    def mark_down(self, down: bool) -> None:
-        """Note whether the backend server is known not to run."""
-        self._flows.down = down
+    def on_refused(self, now: float) -> None:
+        """Note that the server's port is closed, so that this start of it is over."""
+        if not self._flows.down:
+            self._refused_at = now
+        self._flows.down = True
 
     def set_bounds(self, bounds: GateBounds) -> None:
         """Put other bounds from the settings in force."""
@@ -269,10 +274,9 @@
         self._unanswered.setdefault(flow, now)
 
     def on_answer(self) -> None:
-        """Note a packet of the backend server, which proves that it runs."""
+        """Note a packet of the backend server, which takes openings."""
         if self._unanswered:
             self._unanswered.clear()
-        self._flows.down = False
 
     def add_found(self) -> None:
         """Count a flow that was opened before this process began."""
@@ -299,6 +303,16 @@
             and now - self._reported_at > SUPERSEDED_SECONDS
         )
 
+    def _is_late(
+        self, report: BackendReport, held: BackendReport | None, now: float
+    ) -> bool:
+        """Tell whether a server sent a report before its port was closed."""
+        return (
+            held is not None
+            and report.started_ms == held.started_ms
+            and now - self._refused_at <= SUPERSEDED_SECONDS
+        )
+
     def _is_stuck(self, now: float) -> bool:
         if not self._unanswered:
             return False
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -194,7 +194,7 @@
 
     def _on_refused(self, error: Exception) -> None:
         log_warning("backend_refused", error=str(error))
-        self._gate.mark_down(True)
+        self._gate.on_refused(self._node.now())
         self._carry_out(self._rules.on_backend_dead("backend_refused"))
         self._tell_if_changed()
 
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -392,11 +392,26 @@
     def test_refused_port_and_next_report(self) -> None:
         mesh = Mesh({"a1": ("dc-a", "desk")}, {})
         gate = mesh.gates["a1"]
-        gate.mark_down(True)
+        gate.on_refused(mesh.now)
         self.assertEqual("down", gate.refusal("desk", mesh.now))
         mesh.report("a1", started_ms=2)
         self.assertIsNone(gate.refusal("desk", mesh.now))
 
+    @params(
+        ("sent before its end", 0.3, "down"),
+        ("goes on, so it runs after all", 2.6, None),
+    )
+    def test_refused_port_and_report_of_the_same_start(
+        self, _: str, after: float, refusal: str | None
+    ) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, {})
+        gate = mesh.gates["a1"]
+        gate.on_refused(mesh.now)
+        gate.on_answer()
+        mesh.now += after
+        mesh.report("a1")
+        self.assertEqual(refusal, gate.refusal("desk", mesh.now))
+
     def test_clock_set_back_before_a_restart(self) -> None:
         mesh = Mesh({"a1": ("dc-a", "desk")}, {})
         gate = mesh.gates["a1"]
