--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,8 +29,8 @@
     (
         6,
         "a frozen agent refused an opening late that a copy had opened elsewhere; its"
-        " reset has no position, and the callers' end ignores it now; later, flows of an"
-        " agent whose entry the platform had lost were reset: it is still asked now",
+        " reset has no position, and the callers' end ignores it now; later, flows of"
+        " an agent whose entry the platform had lost were reset: it is still asked now",
     ),
     (105, "SIGTERM while a daemon was still importing; it ends with -15 then"),
     (35, "an agent that had just started ended flows before it knew the others"),
