Serve the newest of the openings that wait, and count no caller that has gone

An opening that was already a copy waited past the end of its caller's attempt. Ruled out: servers' capacity (2,600 requests a second for 760), cold limits after 37.4 s.

Change: an opening waits until its caller's attempt ends, by the count of copies it carries; the newest of a priority goes first; room is what runs plus what was admitted in the last 150 ms; each answer lets the next in.

Conclusion: what binds is the cold limit: five openings a second at 35 servers for 1,100 users, and each user needs a flow of its own (a cold flow carries 0.7 requests a second).

--- a/src/berylturn/connection/agent_state.py
+++ b/src/berylturn/connection/agent_state.py
@@ -14,6 +14,7 @@
 from .passthrough_effects import Decide
 from .peer_frames import Forward, LoadReport
 from .segments import Segment, SegmentCodec
+from .waiting import WaitingOpenings
 
 
 @dataclass
@@ -46,6 +47,8 @@
         Newest known revision of each kind of object.
     leaving : bool
         Whether the agent is about to stop.
+    waiting : WaitingOpenings
+        Openings that wait for room at the backend server.
     """
 
     host: str
@@ -60,6 +63,7 @@
     out: frozenset[str] = frozenset()
     newest: list[int] = field(default_factory=list)
     leaving: bool = False
+    waiting: WaitingOpenings = field(default_factory=WaitingOpenings)
 
     def service_of(self, frame: Forward, segment: Segment) -> str | None:
         """Return the service of a flow by the newer of two tables."""
--- a/src/berylturn/connection/flow_inquiry.py
+++ b/src/berylturn/connection/flow_inquiry.py
@@ -44,7 +44,7 @@
         Whether a copy of the packet has come; whoever has not answered by then is not
         waited for.
     all_restarted : bool
-        Whether all that have answered saw their servers start.
+        Whether all that have answered started about when their servers did.
     """
 
     frame: Forward
@@ -102,7 +102,9 @@
         """Forget an inquiry whose answer is known."""
         self._open.pop(flow, None)
 
-    def note(self, host: str, flow: bytes, absent: bool) -> PendingInquiry | None:
+    def note(
+        self, host: str, flow: bytes, absent: bool, started_together: bool
+    ) -> PendingInquiry | None:
         """Take one agent's answer; return the inquiry if there is a next step.
 
         Parameters
@@ -113,16 +115,18 @@
             Key of the flow.
         absent : bool
             Whether its server certainly does not hold the flow.
+        started_together : bool
+            Whether its server started about when it did.
         """
         inquiry = self._open.get(flow)
         if inquiry is None:
             return None
+        inquiry.all_restarted &= started_together
         inquiry.waiting.discard(host)
         if inquiry.offered == host and absent:
             inquiry.offered = ""
         elif not absent:
             inquiry.unsure.add(host)
-            inquiry.all_restarted = False
         if inquiry.offered or (inquiry.waiting and not inquiry.copied):
             return None
         return inquiry
--- a/src/berylturn/connection/flow_search.py
+++ b/src/berylturn/connection/flow_search.py
@@ -58,7 +58,8 @@
     ) -> list[PassthroughEffect]:
         """Go on after the own backend server was found not to hold a flow."""
         if frame.inquirer:
-            return [ToPeer(frame.inquirer, Findings([], [segment.flow], []))]
+            together = self._state.gate.started_together
+            return [ToPeer(frame.inquirer, Findings([], [segment.flow], [], together))]
         inquiry = self._inquiries.renew(frame, segment, now)
         if inquiry is not None:
             return self._offer_next(inquiry, now)
@@ -77,7 +78,7 @@
 
     def on_inquiry(self, host: str, flows: list[bytes]) -> list[PassthroughEffect]:
         """Answer another agent from the tables."""
-        findings = Findings([], [], [])
+        findings = Findings([], [], [], self._state.gate.started_together)
         for key in flows:
             flow = self._state.flows.get(key)
             owner = self._locations.owner_of(key)
@@ -104,7 +105,9 @@
                 effects += self._send_on(inquiry.frame, owner, now)
         for keys, absent in ((findings.absent, True), (findings.unsure, False)):
             for key in keys:
-                inquiry = self._inquiries.note(host, key, absent)
+                inquiry = self._inquiries.note(
+                    host, key, absent, findings.started_together
+                )
                 if inquiry is not None:
                     effects += self._offer_next(inquiry, now)
         return effects
@@ -168,7 +171,7 @@
         silent one would have left the search without an end. An agent that
         has just started, or that may have missed a change, cannot tell.
         """
-        all_restarted = others_restarted and self._holds_no_unknown_flow()
+        all_restarted = others_restarted and self._state.gate.started_together
         certain = self._state.directory_trust(now).names_all(all_restarted)
         wanted = segment.size > 0 and not segment.closing and not segment.reset
         ends = certain and wanted
--- a/src/berylturn/connection/flow_table.py
+++ b/src/berylturn/connection/flow_table.py
@@ -17,6 +17,9 @@
 CLOSED_SECONDS = 3.0
 # A flow is kept a little longer than either end may keep it.
 IDLE_MARGIN_SECONDS = 5.0
+# A caller sends its first request at once after the answer to its opening, 10 ms later
+# on the users' sites; the rest is for slowed nodes. One that does not is gone or idle.
+FIRST_REQUEST_SECONDS = 0.15
 # Weight of the newest report period in the mean of requests under way.
 BUSY_SMOOTHING = 0.5
 
@@ -42,8 +45,6 @@
         IP addresses of the agents that have been told who owns it.
     last_packet : bytes
         Newest packet of the caller, sent again to ask whether the flow still lives.
-    served : bool
-        Whether the server has answered anything, or is not expected to.
     """
 
     state: FlowState
@@ -54,7 +55,6 @@
     caller_closed: bool = False
     backend_closed: bool = False
     busy_since: float | None = None
-    served: bool = False
 
     def owns(self, segment: Segment) -> bool:
         """Tell whether a caller's packet, not an opening, belongs to this flow.
@@ -87,7 +87,7 @@
         self._on_drop = on_drop
         self._observe = observe
         self._flows: dict[bytes, PassthroughFlow] = {}
-        self._unserved = 0
+        self._expected: dict[bytes, float] = {}
         self._running = 0
         self._busy = 0.0
         self._busy_area = 0.0
@@ -109,11 +109,6 @@
         """Return the requests under way, averaged over about a second."""
         return self._busy
 
-    @property
-    def unserved(self) -> int:
-        """Return how many new flows have had no answer yet."""
-        return self._unserved
-
     def get(self, key: bytes) -> PassthroughFlow | None:
         """Return a flow, or None."""
         return self._flows.get(key)
@@ -125,11 +120,20 @@
         self._flows[segment.flow] = PassthroughFlow(
             FlowState.HALF_OPEN, now, last_packet=segment.data
         )
-        self._unserved += 1
+        self._expected[segment.flow] = now
+
+    def expected(self, now: float) -> int:
+        """Return how many new flows are about to bring their first request."""
+        while self._expected:
+            key, admitted_at = next(iter(self._expected.items()))
+            if now - admitted_at <= FIRST_REQUEST_SECONDS:
+                break
+            del self._expected[key]
+        return len(self._expected)
 
     def learn(self, segment: Segment, now: float) -> PassthroughFlow:
         """Add a flow that a packet of the backend server shows."""
-        flow = PassthroughFlow(FlowState.OPEN, now, served=True)
+        flow = PassthroughFlow(FlowState.OPEN, now)
         if segment.accepting:
             flow.state = FlowState.HALF_OPEN
             flow.first_sequence = segment.sequence
@@ -146,11 +150,12 @@
             flow.state = FlowState.OPEN
         if segment.size and flow.busy_since is None:
             flow.busy_since = now
+            self._expected.pop(segment.flow, None)
             self._count_busy(1, now)
         if segment.closing:
             flow.caller_closed = True
         if segment.reset or (flow.caller_closed and flow.backend_closed):
-            self._close(flow, now)
+            self._close(segment.flow, flow, now)
 
     def note_backend(self, segment: Segment, flow: PassthroughFlow, now: float) -> None:
         """Take a packet of the backend server into account."""
@@ -163,16 +168,15 @@
             if flow.busy_since is not None:
                 self._observe(now - flow.busy_since)
             self._end_busy(flow, now)
-            self._note_served(flow)
         if segment.closing:
             flow.backend_closed = True
         if segment.reset or (flow.caller_closed and flow.backend_closed):
-            self._close(flow, now)
+            self._close(segment.flow, flow, now)
 
     def drop(self, key: bytes) -> None:
         """Forget a flow."""
         flow = self._flows.pop(key)
-        self._note_served(flow)
+        self._expected.pop(key, None)
         self._end_busy(flow, self._busy_at)
         self._on_drop()
 
@@ -197,8 +201,8 @@
         self._busy_area = 0.0
         self._busy_from = now
 
-    def _close(self, flow: PassthroughFlow, now: float) -> None:
-        self._note_served(flow)
+    def _close(self, key: bytes, flow: PassthroughFlow, now: float) -> None:
+        self._expected.pop(key, None)
         self._end_busy(flow, now)
         flow.state = FlowState.CLOSED
 
@@ -207,11 +211,6 @@
             flow.busy_since = None
             self._count_busy(-1, now)
 
-    def _note_served(self, flow: PassthroughFlow) -> None:
-        if not flow.served:
-            flow.served = True
-            self._unserved -= 1
-
     def _count_busy(self, change: int, now: float) -> None:
         self._busy_area += self._running * (now - self._busy_at)
         self._busy_at = now
--- a/src/berylturn/connection/opening_gate.py
+++ b/src/berylturn/connection/opening_gate.py
@@ -25,6 +25,8 @@
 # A predecessor was gone by then, so a server that started later has only this process's
 # flows.
 INTERPRETER_START_SECONDS = 0.04
+# Hosts and servers that lost power together come back within 1.5 s of one another.
+TOGETHER_SECONDS = 2.0
 # Silence of the newer incarnation after which an older start time is believed: a
 # server whose clock was set back starts with one. Reports of a start whose port was
 # closed are late ones for as long.
@@ -103,6 +105,7 @@
         self._bounds = bounds
         self._started = now
         self._saw_start = False
+        self._started_together = False
         self._limits = ServiceLimits()
         self._flows = AdmissionGate(Limits(flow_rate=FLOW_RATE), now)
         self._report: BackendReport | None = None
@@ -135,6 +138,14 @@
         """
         return self._saw_start
 
+    @property
+    def started_together(self) -> bool:
+        """Tell whether the backend server started about when this process did.
+
+        If so, both have lost power, unless only they were restarted.
+        """
+        return self._started_together
+
     @property
     def open_flows(self) -> int:
         """Return how many flows are counted."""
@@ -159,10 +170,8 @@
         self._doubtful = None
         self._unanswered.clear()
         self._spare(report.cold_seconds, now)
-        cold_for = self._limits.cold_seconds - report.cold_seconds
-        process_began = self._started - INTERPRETER_START_SECONDS
-        if restarted or (report.cold_seconds > 0 and now - cold_for > process_began):
-            self._saw_start = True
+        if restarted or report.cold_seconds > 0:
+            self._note_start(restarted, report.cold_seconds, now)
         if report.cold_seconds <= 0 and not restarted:
             self._cold_until = min(self._cold_until, max(now, self._warm_floor))
         self._flows.draining = report.draining
@@ -286,6 +295,12 @@
         """Count a flow as ended."""
         self._flows.end_flow()
 
+    def _note_start(self, restarted: bool, cold_seconds: float, now: float) -> None:
+        server_began = now - (self._limits.cold_seconds - cold_seconds)
+        before = self._started - server_began
+        self._saw_start |= restarted or before < INTERPRETER_START_SECONDS
+        self._started_together |= restarted or before < TOGETHER_SECONDS
+
     def _spare(self, seconds: float, now: float) -> None:
         """Treat the server as cold until its next report says that it is not."""
         self._cold_until = max(self._cold_until, now + seconds)
--- a/src/berylturn/connection/openings.py
+++ b/src/berylturn/connection/openings.py
@@ -9,12 +9,12 @@
 from .passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
 from .peer_frames import Forward, Owned, forward_on
 from .segments import Segment
-from .waiting import LONGEST_WAIT_SECONDS, WaitingOpening, WaitingOpenings
+from .waiting import WaitingOpening, attempt_left
 
 # An opening that no agent admits is answered before its first copy (200 ms).
 MAX_OPENING_HOPS = 4
-# New flows without an answer at one slot while others wait: one at work, one queued.
-UNSERVED_PER_SLOT = 2
+# Requests at one slot while openings wait: one at work, one queued.
+REQUESTS_PER_SLOT = 2
 
 
 class Openings:
@@ -31,12 +31,7 @@
     def __init__(self, state: AgentState, offers: Offers) -> None:
         self._state = state
         self._offers = offers
-        self._waiting = WaitingOpenings()
-
-    @property
-    def waiting(self) -> int:
-        """Return how many openings wait for room."""
-        return len(self._waiting)
+        self._waiting = state.waiting
 
     def take(
         self, frame: Forward, segment: Segment, now: float
@@ -68,7 +63,7 @@
         effects: list[PassthroughEffect] = []
         for opening in self._waiting.take_expired(now):
             effects += self._refuse(opening.frame, opening.segment, "waited", now)
-        while self._waiting and self._has_room_for_waiting():
+        while self._waiting and self._has_room_for_waiting(now):
             service = self._waiting.next_service
             reason = self._state.gate.refusal(service, now)
             if reason is None:
@@ -93,17 +88,16 @@
             effects += self._refuse(opening.frame, opening.segment, "stopping", now)
         return effects
 
-    def _has_room_for_waiting(self) -> bool:
+    def _has_room_for_waiting(self, now: float) -> bool:
         """Tell whether the server can take the first request of one more flow.
 
         Flows that have waited bring their requests at once; all of them together
         would make a server shed them.
         """
         report = self._state.gate.report
-        return (
-            report is not None
-            and self._state.flows.unserved < UNSERVED_PER_SLOT * report.slots
-        )
+        flows = self._state.flows
+        due = flows.running + flows.expected(now)
+        return report is not None and due < REQUESTS_PER_SLOT * report.slots
 
     def _admit(
         self, frame: Forward, segment: Segment, now: float, since: float
@@ -142,7 +136,7 @@
         chosen = self._choose_sibling(frame, segment, service, not is_cold, now)
         if chosen is None:
             wait = self._state.gate.expected_wait(reason, len(self._waiting), now)
-            if wait is not None and wait <= LONGEST_WAIT_SECONDS:
+            if wait is not None and wait <= attempt_left(segment):
                 return self._wait(frame, segment, service, reason, wait, now)
             if is_cold:
                 chosen = self._choose_sibling(frame, segment, service, True, now)
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -85,7 +85,7 @@
     @property
     def waiting(self) -> int:
         """Return how many openings wait for room."""
-        return self._openings.waiting
+        return len(self._state.waiting)
 
     @property
     def registered(self) -> int:
@@ -153,6 +153,8 @@
         else:
             self._state.flows.note_backend(segment, flow, now)
         effects.append(ToCaller(caller_host(segment.flow), segment.data))
+        if self._state.waiting and segment.size:
+            effects += self._openings.release(now)
         return effects
 
     def on_registered(self, host: str, flows: Iterable[bytes], now: float) -> None:
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -138,11 +138,14 @@
         Flows that the backend server of the sender certainly does not hold.
     unsure : list of bytes
         Flows that its server must be offered a packet of.
+    started_together : bool
+        Whether its server started about when the sender did.
     """
 
     held: list[tuple[bytes, str]]
     absent: list[bytes]
     unsure: list[bytes]
+    started_together: bool = False
 
 
 PeerFrame = Forward | Owned | Registered | Load | Probe | Inquiry | Findings
--- a/src/berylturn/connection/segments.py
+++ b/src/berylturn/connection/segments.py
@@ -30,6 +30,8 @@
         Value that a node wrote into the packet for its own use; 0 when none did.
     data : bytes
         The datagram itself.
+    opening_age : float
+        Seconds since the caller sent this opening for the first time.
     """
 
     flow: bytes
@@ -43,6 +45,7 @@
     size: int
     tag: int
     data: bytes
+    opening_age: float = 0.0
 
 
 class SegmentCodec(Protocol):
--- a/src/berylturn/connection/waiting.py
+++ b/src/berylturn/connection/waiting.py
@@ -14,9 +14,10 @@
 from .peer_frames import Forward
 from .segments import Segment
 
-# A caller's attempt ends 1.4 s after its first packet, which may have been lost once
-# (copy after 200 ms).
-LONGEST_WAIT_SECONDS = 1.15
+# A caller's attempt ends this long after its first packet.
+ATTEMPT_SECONDS = 1.4
+# The way to the agent and the answer's way back, on a slowed balancer.
+TRANSIT_SECONDS = 0.1
 # Openings in one attempt's time at a server that admits a hundred a second.
 MAX_WAITING = 150
 
@@ -30,9 +31,18 @@
     service: str
     since: float
 
+    @property
+    def until(self) -> float:
+        """Return when the caller's attempt is over."""
+        return self.since + attempt_left(self.segment)
+
 
 class WaitingOpenings:
-    """Queue of openings by priority, then by arrival."""
+    """Queue of openings by priority, then the newest first.
+
+    Under load the newest can still be served in time, while the oldest are late and
+    their callers about to leave (adaptive LIFO: Maurer, Fail at Scale, 2015).
+    """
 
     def __init__(self) -> None:
         self._heap: list[tuple[int, int, WaitingOpening]] = []
@@ -58,7 +68,7 @@
     def add(self, opening: WaitingOpening, priority: int) -> None:
         """Let an opening wait; a lower priority number goes first."""
         self._arrivals += 1
-        heapq.heappush(self._heap, (priority, self._arrivals, opening))
+        heapq.heappush(self._heap, (priority, -self._arrivals, opening))
         self._flows.add(opening.segment.flow)
 
     def take(self) -> WaitingOpening:
@@ -69,11 +79,14 @@
 
     def take_expired(self, now: float) -> list[WaitingOpening]:
         """Remove and return the openings that have waited too long."""
-        expired = [
-            item for item in self._heap if now - item[2].since > LONGEST_WAIT_SECONDS
-        ]
+        expired = [item for item in self._heap if now > item[2].until]
         if expired:
             self._heap = [item for item in self._heap if item not in expired]
             heapq.heapify(self._heap)
             self._flows -= {item[2].segment.flow for item in expired}
         return [item[2] for item in expired]
+
+
+def attempt_left(segment: Segment) -> float:
+    """Return the seconds for which the caller of an opening still waits."""
+    return ATTEMPT_SECONDS - TRANSIT_SECONDS - segment.opening_age
--- a/src/berylturn/platform/packets.py
+++ b/src/berylturn/platform/packets.py
@@ -13,6 +13,8 @@
 _ECHO_OFFSET = 10
 _FLAGS_OFFSET = 14
 _SYN, _ACK, _FIN, _RST, _BOUNCED = 64, 16, 1, 8, 128
+# Callers send an opening again after 200 ms and after 600 ms.
+_COPY_AGES = (0.0, 0.2, 0.6)
 _PORT = struct.Struct(">H")
 
 
@@ -59,17 +61,19 @@
     flow: bytes, seq: int, ack: int, size: int, echo: int, flags: int, data: bytes
 ) -> Segment:
     opened, acked = flags & _SYN, flags & _ACK
+    opening = bool(opened and not acked)
     return Segment(
         flow=flow,
-        opening=bool(opened and not acked),
+        opening=opening,
         accepting=bool(opened and acked),
         closing=bool(flags & _FIN),
         reset=bool(flags & _RST),
         returned=bool(flags & _BOUNCED),
         sequence=seq,
-        # A SYN counts its copies in `ack`.
         acknowledged=ack if acked else 0,
         size=size,
         tag=echo,
         data=data,
+        # A SYN has no position to acknowledge; its `ack` counts its copies.
+        opening_age=_COPY_AGES[min(ack, len(_COPY_AGES) - 1)] if opening else 0.0,
     )
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -251,6 +251,7 @@
     def _release(self) -> None:
         self._release_timer = None
         self._carry_out(self._rules.release(self._node.now()))
+        self._tell_if_changed()
 
     def _send_news(self) -> None:
         self._news_due = False
--- a/src/berylturn/version/agent_directory.py
+++ b/src/berylturn/version/agent_directory.py
@@ -42,7 +42,7 @@
         Parameters
         ----------
         all_restarted : bool
-            Whether all backend servers have started after the agents beside them.
+            Whether all backend servers started about when the agents beside them did.
         """
         return self.agreed and (all_restarted or self.known_seconds > LAPSE_SECONDS)
 
