Follow the platform through seeds that watch it

Change: each agent, and each balancer for the directory, asks one seed a second, which answers what it knows and tells of changes at once; a seed that is silent or has lost the platform is left for the next. A node that has just read the platform waits 1.5 s for a seed before it watches; one that is refused asks its seed only. Peers send the kinds that the asker lacks in place of all. Only nodes that watch all kinds themselves confirm, so no two nodes rely on each other.

Before: the relay's tables watched (2 calls where 1 is allowed), asked while refused, and sent 5,000 bytes to a peer that had them.

--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -148,7 +148,38 @@
     started_together: bool = False
 
 
-PeerFrame = Forward | Owned | Registered | Load | Probe | Inquiry | Findings
+class ViewInquiry(msgspec.Struct, array_like=True, tag=8):
+    """Ask a node that follows the platform whether anything has changed."""
+
+    newest: list[int]
+
+
+class ViewStatus(msgspec.Struct, array_like=True, tag=9):
+    """Tell a node what the sender knows of the platform's objects.
+
+    Attributes
+    ----------
+    newest : list of int
+        Newest revision of each kind of object that the sender knows.
+    following : bool
+        Whether the platform serves the sender's watches now.
+    """
+
+    newest: list[int]
+    following: bool
+
+
+PeerFrame = (
+    Forward
+    | Owned
+    | Registered
+    | Load
+    | Probe
+    | Inquiry
+    | Findings
+    | ViewInquiry
+    | ViewStatus
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerFrame)
--- a/src/berylturn/platform/start.py
+++ b/src/berylturn/platform/start.py
@@ -86,7 +86,6 @@
     clock = SystemClock()
     logs = LogWriter(settings.logs.file, settings.logs.level, settings.node.name, clock)
     store = ObjectClient(parse_address(settings.platform.url.removeprefix("http://")))
-    relayed = model is PassthroughAgentSettings
     return PassthroughNode(
         settings,
         file,
@@ -96,6 +95,5 @@
         store,
         decode_configuration,
         started,
-        relayed,
         early,
     )
--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from enum import StrEnum
 from typing import Protocol
 
@@ -31,6 +31,9 @@
 # for this long; such peers confirm once a second.
 RELAY_SECONDS = 3.0
 RELAY_CHECK_SECONDS = 0.5
+# A node that has just read the platform waits this long for such a peer, which is asked
+# once a second.
+RELAY_START_SECONDS = 1.5
 # Pulls that frames of peers may cause.
 PULL_GAP_SECONDS = 0.3
 # Balancers tell each second what they know; two of these may be lost.
@@ -84,7 +87,8 @@
 class _SharedKind(msgspec.Struct, array_like=True):
     at_revision: int
     newest: int
-    objects: list[tuple[str, int, bytes]]
+    # None where the asker has them already.
+    objects: list[tuple[str, int, bytes]] | None
 
 
 _share_encoder = msgspec.msgpack.Encoder()
@@ -130,22 +134,34 @@
         if self.snapshots[kind].apply(at_revision, changes):
             self._on_change(kind)
 
-    def export(self) -> bytes:
-        """Return all that is known, for a peer."""
+    def export(self, path: str) -> bytes:
+        """Return what is known, for a peer.
+
+        Parameters
+        ----------
+        path : str
+            What the peer asked for, with the revisions that it knows.
+        """
+        known = _parse_known(path)
         shared = {
-            kind: _SharedKind(
-                held.at_revision,
-                held.newest,
-                [(o.name, o.revision, o.body) for o in held.objects.values()],
+            kind: _SharedKind(held.at_revision, held.newest, _share(held, revision))
+            for (kind, held), revision in zip(
+                self.snapshots.items(), known, strict=True
             )
-            for kind, held in self.snapshots.items()
             if held.known
         }
         return _share_encoder.encode(shared)
 
+    def export_path(self) -> str:
+        """Return the path that asks a peer for what is missing here."""
+        return f"{VIEW_PATH}?known={'.'.join(map(str, self.newest))}"
+
     def merge(self, data: bytes) -> None:
         """Take what a peer exported; raises `msgspec.DecodeError`."""
         for kind, shared in _share_decoder.decode(data).items():
+            if shared.objects is None:
+                self.snapshots[kind].confirm(shared.at_revision, shared.newest)
+                continue
             objects = [StoredObject(*item) for item in shared.objects]
             self.replace(kind, shared.at_revision, objects, shared.newest)
 
@@ -171,9 +187,9 @@
         Port at which peers share their view.
     list_peers : callable
         Returns IP addresses of nodes that may know more, the likeliest first.
-    relayed : bool
-        Whether to read the platform once and leave watching it to peers, so that
-        calls grow more slowly than the fleet.
+    relayed : collection of Kind
+        Kinds that are read from the platform once and then left to peers that watch
+        it, so that calls grow more slowly than the fleet.
     """
 
     def __init__(
@@ -184,7 +200,7 @@
         clock: Clock,
         peer_port: int,
         list_peers: Callable[[], list[str]],
-        relayed: bool = False,
+        relayed: Collection[Kind] = (),
     ) -> None:
         self._view = view
         self._store = store
@@ -202,10 +218,15 @@
         self._pulled_at = float("-inf")
         self._pulling = False
 
+    @property
+    def follows(self) -> bool:
+        """Tell whether the platform serves all watches of this node itself."""
+        return all(k in self._following and not self._is_relayed(k) for k in KINDS)
+
     @property
     def connected(self) -> bool:
-        """Tell whether the platform serves all watches of this node."""
-        return len(self._following) == len(KINDS)
+        """Tell whether the platform serves this node, or peers stand in for it."""
+        return all(k in self._following or self._is_relayed(k) for k in KINDS)
 
     def directory_trust(self, now: float) -> DirectoryTrust:
         """Return how far the directory of agents can be relied on.
@@ -270,6 +291,13 @@
         gather = FIRST_GATHER_SECONDS
         while True:
             try:
+                if self._is_relayed(kind):
+                    if lost_at is not None:
+                        log_event("platform_left_to_peers", kind=kind)
+                        lost_at = None
+                    listed = True
+                    await asyncio.sleep(RELAY_CHECK_SECONDS)
+                    continue
                 if not listed:
                     revision, objects = await self._store.list_objects(kind)
                     self._view.replace(kind, revision, objects)
@@ -280,9 +308,8 @@
                     if lost_at is not None:
                         self._log_regained(kind, lost_at)
                         lost_at = None
-                if self._is_relayed():
-                    await asyncio.sleep(RELAY_CHECK_SECONDS)
-                    continue
+                    if await self._finds_relay(kind):
+                        continue
                 position = self._view.snapshots[kind].at_revision
                 asked_at = self._clock.monotonic()
                 revision, changes = await self._store.watch_objects(kind, position)
@@ -336,9 +363,20 @@
         if known and self._agents_known_at is None:
             self._agents_known_at = self._clock.monotonic()
 
-    def _is_relayed(self) -> bool:
+    def _is_relayed(self, kind: Kind) -> bool:
+        """Tell whether a peer that follows the platform keeps a kind up to date."""
         silent = self._clock.monotonic() - self._confirmed_at
-        return self._relayed and silent < RELAY_SECONDS
+        known = self._view.snapshots[kind].known
+        return known and kind in self._relayed and silent < RELAY_SECONDS
+
+    async def _finds_relay(self, kind: Kind) -> bool:
+        """Wait for a peer that follows the platform, for a node that just read it."""
+        if kind not in self._relayed:
+            return False
+        until = self._clock.monotonic() + RELAY_START_SECONDS
+        while not self._is_relayed(kind) and self._clock.monotonic() < until:
+            await asyncio.sleep(RELAY_CHECK_SECONDS)
+        return self._is_relayed(kind)
 
     def _log_regained(self, kind: Kind, lost_at: float) -> None:
         away = self._clock.monotonic() - lost_at
@@ -367,7 +405,7 @@
         before = self._view.newest
         try:
             answer = await connection.request(
-                "GET", VIEW_PATH, seconds=PULL_TIMEOUT_SECONDS
+                "GET", self._view.export_path(), seconds=PULL_TIMEOUT_SECONDS
             )
             if answer.status == 200:
                 self._view.merge(answer.body)
@@ -380,3 +418,16 @@
             connection.close()
             self._pulling = False
             self._pulled_at = self._clock.monotonic()
+
+
+def _parse_known(path: str) -> list[int]:
+    """Return the newest revisions in a peer's question; 0 for what it leaves out."""
+    words = path.partition("?known=")[2].split(".")
+    found = [int(word) if word.isdecimal() else 0 for word in words]
+    return (found + [0] * len(KINDS))[: len(KINDS)]
+
+
+def _share(held: KindSnapshot, known: int) -> list[tuple[str, int, bytes]] | None:
+    if 0 < known == held.newest:
+        return None
+    return [(item.name, item.revision, item.body) for item in held.objects.values()]
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -11,7 +11,13 @@
 
 from ..clock import Clock
 from ..connection.passthrough_effects import PassthroughEffect, ToCaller, ToPeer
-from ..connection.peer_frames import PeerFrame, decode_frame, encode_frame
+from ..connection.peer_frames import (
+    PeerFrame,
+    ViewInquiry,
+    ViewStatus,
+    decode_frame,
+    encode_frame,
+)
 from ..connection.segments import SegmentCodec, describe_flow
 from ..errors import PacketError, PlatformError
 from ..version.routes import RouteTable
@@ -30,6 +36,7 @@
 from .settings_file import SettingsFile
 from .sockets import Address, open_udp
 from .tasks import TaskGroup
+from .view_relay import ViewRelay, choose_relayed
 
 METRICS_PATH = "/metrics"
 CONFIGURATION_NAME = "main"
@@ -59,8 +66,6 @@
         Reads a configuration.
     started : float
         Seconds on the monotonic clock when the process began.
-    relayed : bool
-        Whether to leave watching the platform to peers.
     early : socket or None
         Socket for callers' packets that was bound at the start of the process.
     """
@@ -75,7 +80,6 @@
         store: ObjectStore,
         decode_table: TableDecoder,
         started: float,
-        relayed: bool,
         early: socket.socket | None = None,
     ) -> None:
         self._file = file
@@ -103,8 +107,9 @@
             clock,
             settings.passthrough.peer_port,
             self._list_peers,
-            relayed,
+            choose_relayed(settings),
         )
+        self.relay = ViewRelay(self.view, self.sync, self.send, self._seeds, clock)
         self.known_peers: Callable[[], list[str]] = list
         self.on_settings: Callable[[], None] = lambda: None
         # What the command-line tool shows of this kind of daemon.
@@ -165,6 +170,8 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.sync.start()
+        if choose_relayed(self.settings):
+            self.tasks.start(self.relay.run(), "relay")
         log_event(
             "started",
             after_seconds=round(self.now() - self.started, 3),
@@ -209,7 +216,10 @@
             except PacketError as error:
                 self.drop("frame", error)
                 return
-            on_frame(address[0], frame)
+            if isinstance(frame, ViewInquiry | ViewStatus):
+                self.relay.take(address[0], frame)
+            else:
+                on_frame(address[0], frame)
 
         return receive
 
@@ -226,6 +236,7 @@
             self.out = out
         self.metrics.gauge(f"objects.{kind}", len(self.view.snapshots[kind].objects))
         self._on_change(kind)
+        self.relay.announce()
 
     def _take_configuration(self) -> None:
         item = self.view.snapshots[Kind.CONFIGURATION].objects.get(CONFIGURATION_NAME)
@@ -251,13 +262,17 @@
         self.table = table.after(self.table)
 
     def _list_peers(self) -> list[str]:
-        seeds = [host for host, _ in self.settings.passthrough.seeds]
-        peers = dict.fromkeys([*seeds, *self.known_peers()])
+        peers = dict.fromkeys([*self._seeds(), *self.known_peers()])
         return [host for host in peers if host != self.host]
 
+    def _seeds(self) -> list[str]:
+        seeds = [host for host, _ in self.settings.passthrough.seeds]
+        return [host for host in seeds if host != self.host]
+
     def _serve_peer(self, request: HttpRequest) -> HttpReply:
-        if request.path == VIEW_PATH:
-            return HttpReply(200, self.view.export(), "application/msgpack")
+        if request.path.partition("?")[0] == VIEW_PATH:
+            view = self.view.export(request.path)
+            return HttpReply(200, view, "application/msgpack")
         if request.path == STATE_PATH:
             return HttpReply(200, msgspec.json.encode(self._describe_all()))
         return HttpReply(404)
--- a/src/berylturn/version/snapshots.py
+++ b/src/berylturn/version/snapshots.py
@@ -64,6 +64,11 @@
         self.at_revision = at_revision
         return changed
 
+    def confirm(self, at_revision: int, newest: int) -> None:
+        """Take that nothing has changed up to a revision since a known change."""
+        if self.known and newest == self.newest:
+            self.at_revision = max(self.at_revision, at_revision)
+
     def apply(self, at_revision: int, changes: Iterable[ObjectChange]) -> bool:
         """Apply what a watch from `at_revision` or before reported."""
         changed = False
--- a/tests/test_object_view.py
+++ b/tests/test_object_view.py
@@ -45,6 +45,7 @@
     async def watch_objects(
         self, kind: Kind, revision: int
     ) -> tuple[int, list[ObjectChange]]:
+        self.calls[kind] += 1
         await asyncio.Event().wait()
         return revision, []
 
@@ -102,3 +103,85 @@
             return sync.directory_trust(now + after).names_all(all_restarted=False)
 
         self.assertEqual(complete, asyncio.run(play()))
+
+
+class TestRelay(unittest.TestCase):
+    """Leave watching the platform to a peer that follows it.
+
+    Load pattern: each node of a deployment asks for each kind, and each change of the
+    directory answers all of them.
+    """
+
+    @params(
+        ("a peer follows the platform", True, True, {Kind.CONFIGURATION: 1}),
+        ("a peer is there, without the platform", True, False, {}),
+        ("no peer", False, True, {}),
+    )
+    def test_watches(
+        self, _: str, peer: bool, following: bool, relayed: dict[Kind, int]
+    ) -> None:
+        async def play() -> tuple[Counter[Kind], bool]:
+            store, tasks, clock = FailingStore(), TaskGroup(), SystemClock()
+            store.served.set()
+            view = ObjectView(lambda kind: None)
+            sync = ViewSync(
+                view, store, tasks, clock, PEER_PORT, list, {Kind.CONFIGURATION}
+            )
+            sync.start()
+            until = clock.monotonic() + 2.5
+            while clock.monotonic() < until:
+                if peer:
+                    sync.note_balancer("seed", view.newest, following)
+                await asyncio.sleep(0.1)
+            await tasks.cancel_all()
+            return store.calls, sync.follows
+
+        calls, follows = asyncio.run(play())
+        # One list each, and a watch of those that are not left to the peer.
+        self.assertEqual({kind: relayed.get(kind, 2) for kind in KINDS}, calls)
+        self.assertEqual(not relayed, follows)
+
+    def test_refused_node_asks_its_peer_only(self) -> None:
+        async def play() -> Counter[Kind]:
+            store, tasks, clock = FailingStore(), TaskGroup(), SystemClock()
+            view = ObjectView(lambda kind: None)
+            sync = ViewSync(view, store, tasks, clock, PEER_PORT, list, KINDS)
+            for kind in KINDS:
+                view.replace(kind, 7, [])
+            sync.note_balancer("seed", view.newest, True)
+            sync.start()
+            until = clock.monotonic() + 1.0
+            while clock.monotonic() < until:
+                sync.note_balancer("seed", view.newest, True)
+                await asyncio.sleep(0.1)
+            self.assertTrue(sync.connected)
+            await tasks.cancel_all()
+            return store.calls
+
+        self.assertEqual(Counter(), asyncio.run(play()))
+
+
+class TestShares(unittest.TestCase):
+    """Send a peer what it lacks, and nothing that it has."""
+
+    CONFIGURED = StoredObject("main", 5, b"x" * 5_000)
+
+    @params(("knows nothing", None), ("knows the same", 5), ("knows an older one", 4))
+    def test_export(self, _: str, revision: int | None) -> None:
+        full, peer = ObjectView(lambda kind: None), ObjectView(lambda kind: None)
+        full.replace(Kind.CONFIGURATION, 9, [self.CONFIGURED])
+        if revision is not None:
+            held = StoredObject("main", revision, self.CONFIGURED.body)
+            peer.replace(Kind.CONFIGURATION, revision, [held])
+        shared = full.export(peer.export_path())
+        self.assertEqual(revision != 5, len(shared) > 5_000)
+        peer.merge(shared)
+        snapshot = peer.snapshots[Kind.CONFIGURATION]
+        self.assertEqual(full.snapshots[Kind.CONFIGURATION], snapshot)
+
+    @params("/view", "/view?known=", "/view?known=x.y", "/view?known=1.2.3.4.5")
+    def test_unreadable_question_gets_all(self, path: str) -> None:
+        full, peer = ObjectView(lambda kind: None), ObjectView(lambda kind: None)
+        full.replace(Kind.CONFIGURATION, 9, [self.CONFIGURED])
+        peer.merge(full.export(path))
+        self.assertEqual(9, peer.snapshots[Kind.CONFIGURATION].at_revision)
