Let servers that are gone for good keep no dead flow waiting

Change: an agent whose server has not reported says that it cannot tell; a search ends flows when all that can tell started with their servers, and at least one can.

Before: the table's first case was not reset. After: it is, and a fleet of which no server has reported still ends nothing.

--- a/src/berylturn/connection/flow_inquiry.py
+++ b/src/berylturn/connection/flow_inquiry.py
@@ -43,8 +43,8 @@
     copied : bool
         Whether a copy of the packet has come; whoever has not answered by then is not
         waited for.
-    all_restarted : bool
-        Whether all that have answered started about when their servers did.
+    all_restarted : bool or None
+        Whether all that know have started about when their servers did.
     """
 
     frame: Forward
@@ -55,7 +55,7 @@
     offered: str = ""
     silent: int = 0
     copied: bool = False
-    all_restarted: bool = True
+    all_restarted: bool | None = None
 
 
 class Inquiries:
@@ -103,7 +103,7 @@
         self._open.pop(flow, None)
 
     def note(
-        self, host: str, flow: bytes, absent: bool, started_together: bool
+        self, host: str, flow: bytes, absent: bool, started_together: bool | None
     ) -> PendingInquiry | None:
         """Take one agent's answer; return the inquiry if there is a next step.
 
@@ -115,13 +115,13 @@
             Key of the flow.
         absent : bool
             Whether its server certainly does not hold the flow.
-        started_together : bool
-            Whether its server started about when it did.
+        started_together : bool or None
+            Whether its server started about when it did, if that is known.
         """
         inquiry = self._open.get(flow)
         if inquiry is None:
             return None
-        inquiry.all_restarted &= started_together
+        inquiry.all_restarted = join_starts(inquiry.all_restarted, started_together)
         inquiry.waiting.discard(host)
         if inquiry.offered == host and absent:
             inquiry.offered = ""
@@ -146,3 +146,9 @@
             if now - inquiry.asked_at <= INQUIRY_SECONDS:
                 break
             del self._open[flow]
+
+
+def join_starts(first: bool | None, second: bool | None) -> bool | None:
+    """Return whether both started with their servers; None stands for unknown."""
+    known = [value for value in (first, second) if value is not None]
+    return all(known) if known else None
--- a/src/berylturn/connection/flow_search.py
+++ b/src/berylturn/connection/flow_search.py
@@ -4,7 +4,7 @@
 
 from ..version.owners import rank_agents
 from .agent_state import AgentState
-from .flow_inquiry import Inquiries, PendingInquiry
+from .flow_inquiry import Inquiries, PendingInquiry, join_starts
 from .flow_locations import FlowLocations
 from .flow_table import FlowState
 from .offers import Offers
@@ -70,7 +70,7 @@
             if agent.host != self._state.host
         ]
         if not hosts:
-            return self._give_up(segment, 0, True, now)
+            return self._give_up(segment, 0, None, now)
         self._inquiries.begin(frame, segment, hosts, now)
         for host in hosts:
             self._state.board.ask(host, now)
@@ -163,7 +163,7 @@
         return self._give_up(segment, hops, inquiry.all_restarted, now)
 
     def _give_up(
-        self, segment: Segment, hops: int, others_restarted: bool, now: float
+        self, segment: Segment, hops: int, others_restarted: bool | None, now: float
     ) -> list[PassthroughEffect]:
         """End a flow that no backend server holds, when its caller wants something.
 
@@ -171,7 +171,8 @@
         silent one would have left the search without an end. An agent that
         has just started, or that may have missed a change, cannot tell.
         """
-        all_restarted = others_restarted and self._state.gate.started_together
+        own = self._state.gate.started_together
+        all_restarted = join_starts(others_restarted, own) is True
         certain = self._state.directory_trust(now).names_all(all_restarted)
         wanted = segment.size > 0 and not segment.closing and not segment.reset
         ends = certain and wanted
--- a/src/berylturn/connection/opening_gate.py
+++ b/src/berylturn/connection/opening_gate.py
@@ -139,12 +139,13 @@
         return self._saw_start
 
     @property
-    def started_together(self) -> bool:
+    def started_together(self) -> bool | None:
         """Tell whether the backend server started about when this process did.
 
-        If so, both have lost power, unless only they were restarted.
+        If so, both have lost power, unless only they were restarted. None if the server
+        has not reported, as one that is gone for good.
         """
-        return self._started_together
+        return None if self.report is None else self._started_together
 
     @property
     def open_flows(self) -> int:
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -138,14 +138,14 @@
         Flows that the backend server of the sender certainly does not hold.
     unsure : list of bytes
         Flows that its server must be offered a packet of.
-    started_together : bool
-        Whether its server started about when the sender did.
+    started_together : bool or None
+        Whether its server started about when the sender did; None if that is unknown.
     """
 
     held: list[tuple[bytes, str]]
     absent: list[bytes]
     unsure: list[bytes]
-    started_together: bool = False
+    started_together: bool | None = None
 
 
 class ViewInquiry(msgspec.Struct, array_like=True, tag=8):
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -170,6 +170,26 @@
         self.assertFalse(mesh.ask("front-a", flow, owner))
         self.assertEqual(ended, mesh.was_reset(flow))
 
+    @params(
+        ("one server is gone for good", {"b2"}, True),
+        ("no server has reported", set(SEVEN), False),
+    )
+    def test_power_loss_of_which_some_servers_do_not_come_back(
+        self, _: str, gone: set[str], ended: bool
+    ) -> None:
+        mesh = Mesh(SEVEN, BALANCERS)
+        flow = flow_key(1)
+        owner = mesh.open_flow("front-a", flow)
+        mesh.known_seconds = 0.1
+        for name, backend in mesh.backends.items():
+            backend.flows.clear()
+            mesh.start_agent(name, reported=False)
+            if name not in gone:
+                mesh.report(name, started_ms=2, cold_seconds=1.9)
+        mesh.start_balancer("front-a", "dc-a")
+        mesh.ask("front-a", flow, owner)
+        self.assertEqual(ended, mesh.was_reset(flow))
+
     @params(("new start", 2, True), ("same start", 1, False))
     def test_restart_seen_by_its_agent(
         self, _: str, started_ms: int, ended: bool
