--- a/src/berylturn_standins/objects.py
+++ b/src/berylturn_standins/objects.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -12,6 +13,7 @@
 
 PAGE_ITEMS = 3
 HISTORY = 200
+RATE_SECONDS = 1.0
 
 
 @dataclass
@@ -46,6 +48,12 @@
         self.address = address
         self.trouble = Trouble()
         self.calls = 0
+        # Watches that wait for a change.
+        self.waiting = 0
+        # Calls a second beyond which it answers 429, and how many it has answered so.
+        self.limit: int | None = None
+        self.over_limit = 0
+        self._recent: deque[float] = deque()
         self._revision = 0
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -108,6 +116,9 @@
 
     async def _serve(self, request: web.Request) -> web.Response:
         self.calls += 1
+        if self._is_over_limit():
+            self.over_limit += 1
+            return web.Response(status=429)
         trouble = self.trouble
         if trouble.mode and (not trouble.hosts or request.remote in trouble.hosts):
             return await self._fail(request, trouble.mode)
@@ -122,6 +133,13 @@
             return await self._fail(request, "reset")
         return answer
 
+    def _is_over_limit(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        self._recent.append(now)
+        while now - self._recent[0] > RATE_SECONDS:
+            self._recent.popleft()
+        return self.limit is not None and len(self._recent) > self.limit
+
     async def _fail(self, request: web.Request, mode: str) -> web.Response:
         if mode == "silent":
             await asyncio.sleep(60)
@@ -147,11 +165,14 @@
         def is_due() -> bool:
             return since < self._forgotten or bool(self._news(kind, since))
 
-        async with self._changed:
-            try:
+        self.waiting += 1
+        try:
+            async with self._changed:
                 await asyncio.wait_for(self._changed.wait_for(is_due), seconds)
-            except TimeoutError:
-                pass
+        except TimeoutError:
+            pass
+        finally:
+            self.waiting -= 1
         if since < self._forgotten:
             return web.Response(status=410)
         events = self._news(kind, since)
--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -207,6 +207,44 @@
             deployment.router.choose = lambda flow: second
             self.assertTrue(await all_answered(flows), deployment.explain())
 
+    @run_async
+    async def test_seeds_stand_in_for_the_platform(self) -> None:
+        async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
+            platform = deployment.platform
+            # Each node has read each kind once; two balancers are the seeds. A watch
+            # that an agent began while it was starved ends after 29 s.
+            await deployment.until(lambda: platform.waiting == 3 * len(BALANCERS), 60)
+            before = platform.calls
+            await platform.put("evacuations", "dc-a", {})
+            for name in deployment.hosts:
+                await deployment.until(
+                    lambda n=name: '"out":["dc-a"]' in deployment.log_of(n)
+                )
+            await deployment.until(lambda: platform.waiting == 3 * len(BALANCERS))
+            self.assertEqual(len(BALANCERS), platform.calls - before)
+
+    @run_async
+    async def test_agents_follow_the_platform_when_all_seeds_are_lost(self) -> None:
+        async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
+            for name in BALANCERS:
+                await deployment.stop(name, signal.SIGKILL)
+            await deployment.platform.put("evacuations", "dc-a", {})
+            for name in AGENTS:
+                await deployment.until(
+                    lambda n=name: '"out":["dc-a"]' in deployment.log_of(n)
+                )
+
+    @run_async
+    async def test_calls_stay_within_the_rates(self) -> None:
+        async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
+            deployment.platform.limit = 20
+            await asyncio.gather(*(deployment.stop(name) for name in AGENTS))
+            await asyncio.gather(*(deployment.start(name) for name in AGENTS))
+            for name in AGENTS:
+                await deployment.until_directory_has(name, len(AGENTS))
+            await open_flows(deployment)
+            self.assertEqual(0, deployment.platform.over_limit)
+
     @run_async
     async def test_restarted_server_ends_its_flows_at_once(self) -> None:
         async with OpaqueDeployment(BALANCERS, {"s": ("dc-a", "desk")}) as deployment:
