Rely on a seed only while its changes arrive here

Cause: found on reading. A node counted itself as kept up to date by a peer that follows the platform even if it could not fetch what that peer knows (datagrams pass, connections do not), so it could stay behind for good. And a node that the platform had refused before a seed stood in for it went on without listing when the seed was lost, and asked peers twice a second.

Change: a peer confirms only a view that lacks nothing of its own; a kind that the platform does not serve is listed when the relay ends.

Before: test_peer_whose_change_does_not_arrive made no watch, and the node that lost its seed never followed the platform again (20 s). After: both hold.

--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -261,8 +261,8 @@
         """
         if not self._view.lacks(newest):
             self._agents_agreed_at = self._clock.monotonic()
-        if following:
-            self._confirmed_at = self._clock.monotonic()
+            if following:
+                self._confirmed_at = self._clock.monotonic()
         self.note_peer(host, newest)
 
     def note_peer(self, host: str, newest: list[int]) -> None:
@@ -295,7 +295,7 @@
                     if lost_at is not None:
                         log_event("platform_left_to_peers", kind=kind)
                         lost_at = None
-                    listed = True
+                    listed = kind in self._following
                     await asyncio.sleep(RELAY_CHECK_SECONDS)
                     continue
                 if not listed:
--- a/tests/test_object_view.py
+++ b/tests/test_object_view.py
@@ -160,6 +160,45 @@
 
         self.assertEqual(Counter(), asyncio.run(play()))
 
+    @params(("knows the same", 0, False), ("knows of a change", 9, True))
+    def test_peer_whose_change_does_not_arrive(
+        self, _: str, newest: int, watches: bool
+    ) -> None:
+        async def play() -> Counter[Kind]:
+            store, tasks, clock = FailingStore(), TaskGroup(), SystemClock()
+            store.served.set()
+            view = ObjectView(lambda kind: None)
+            sync = ViewSync(view, store, tasks, clock, PEER_PORT, list, KINDS)
+            sync.start()
+            until = clock.monotonic() + 2.0
+            while clock.monotonic() < until:
+                # Pulls from this peer fail; its datagrams arrive.
+                sync.note_balancer("127.0.0.1", [newest] * 3, True)
+                await asyncio.sleep(0.1)
+            await tasks.cancel_all()
+            return store.calls
+
+        calls = asyncio.run(play())
+        self.assertEqual({kind: 1 + watches for kind in KINDS}, calls)
+
+    def test_node_asks_anew_when_its_peer_is_lost_after_a_failure(self) -> None:
+        async def play() -> bool:
+            store, tasks, clock = FailingStore(), TaskGroup(), SystemClock()
+            view = ObjectView(lambda kind: None)
+            sync = ViewSync(view, store, tasks, clock, PEER_PORT, list, KINDS)
+            for kind in KINDS:
+                view.replace(kind, 7, [])
+            sync.note_balancer("seed", view.newest, True)
+            sync.start()
+            store.served.set()
+            async with asyncio.timeout(DEADLINE_SECONDS):
+                while not sync.follows:
+                    await asyncio.sleep(0.05)
+            await tasks.cancel_all()
+            return sync.connected
+
+        self.assertTrue(asyncio.run(play()))
+
 
 class TestShares(unittest.TestCase):
     """Send a peer what it lacks, and nothing that it has."""
