Let the platform's stand-in fail for one daemon alone

The stand-in was to refuse one daemon by the address that its calls come from, but daemons do not bind their calls, so all come from 127.0.0.1: it refused nobody, and the agent that was to stay without its entry wrote it again within half a second. Depending on who looked first, a node never showed three entries. The logs of a failed run show it (entry_written of side-b1 338 ms after the removal).

The same mistake made the four cases of test_node_starts_while_the_platform_refuses_it refuse nothing.

--- a/src/berylturn_standins/objects.py
+++ b/src/berylturn_standins/objects.py
@@ -25,7 +25,7 @@
     mode : str
         ``""``, ``busy`` (503), ``many`` (429), ``reset`` or ``silent``.
     hosts : set of str
-        IP addresses that it concerns; all when empty.
+        Own IP addresses at which it answers so; all when empty.
     lost_answers : int
         Writes to carry out without an answer.
     """
@@ -40,16 +40,18 @@
 
     Parameters
     ----------
-    address : tuple of str and int
-        Where to listen.
+    addresses : list of tuple of str and int
+        Where to listen; one a caller lets `Trouble` concern some callers alone.
     """
 
-    def __init__(self, address: tuple[str, int]) -> None:
-        self.address = address
+    def __init__(self, addresses: list[tuple[str, int]]) -> None:
+        self._addresses = addresses
         self.trouble = Trouble()
         self.calls = 0
         # Watches that wait for a change.
         self.waiting = 0
+        # Calls that met `trouble`.
+        self.troubled = 0
         # Calls a second beyond which it answers 429, and how many it has answered so.
         self.limit: int | None = None
         self.over_limit = 0
@@ -68,7 +70,8 @@
         app.router.add_route("*", "/-/objects/{kind}/{name}", self._serve)
         self._runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self._runner.setup()
-        await web.TCPSite(self._runner, *self.address).start()
+        for address in self._addresses:
+            await web.TCPSite(self._runner, *address).start()
 
     async def stop(self) -> None:
         """Stop listening."""
@@ -120,7 +123,9 @@
             self.over_limit += 1
             return web.Response(status=429)
         trouble = self.trouble
-        if trouble.mode and (not trouble.hosts or request.remote in trouble.hosts):
+        called = request.transport.get_extra_info("sockname")[0]
+        if trouble.mode and (not trouble.hosts or called in trouble.hosts):
+            self.troubled += 1
             return await self._fail(request, trouble.mode)
         kind, name = request.match_info["kind"], request.match_info.get("name")
         if request.method == "GET":
--- a/src/berylturn_standins/opaque_deployment.py
+++ b/src/berylturn_standins/opaque_deployment.py
@@ -59,8 +59,14 @@
     ) -> None:
         first = 10 * network + 6
         self.ports = Ports()
-        self.platform = ObjectStandIn((f"127.{first + 3}.0.1", PLATFORM_PORT))
         names = [*balancers, *agents]
+        # Each daemon calls the platform at an address of its own.
+        self.platform_hosts = {
+            name: f"127.{first + 3}.0.{n}" for n, name in enumerate(names, 1)
+        }
+        self.platform = ObjectStandIn(
+            [(host, PLATFORM_PORT) for host in self.platform_hosts.values()]
+        )
         self.hosts = {name: f"127.{first + 2}.0.{n}" for n, name in enumerate(names, 1)}
         # Where other daemons find a daemon: itself, or the proxy before it.
         self.fronts = {
@@ -255,7 +261,7 @@
             )
             await self.peer_proxies[name].start((front, self.ports.peers))
             self.platform_proxies[name] = FaultProxy(
-                self.platform.address, LinkFaults(), seed
+                (self.platform_hosts[name], PLATFORM_PORT), LinkFaults(), seed
             )
             await self.platform_proxies[name].start((front, PLATFORM_PORT))
 
@@ -274,7 +280,7 @@
         host, ports = self.hosts[name], self.ports
         front = self.fronts[name]
         proxied = front != host
-        platform = front if proxied else self.platform.address[0]
+        platform = front if proxied else self.platform_hosts[name]
         centre = self.balancers[name] if role == "balancer" else self.agents[name][0]
         seeds = ",".join(
             f"{self.fronts[seed]}:{ports.heartbeats}" for seed in self.balancers
--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -128,10 +128,11 @@
             flows = await open_flows(deployment)
             await deployment.stop("front-a", signal.SIGKILL)
             deployment.platform.trouble.mode = mode
-            deployment.platform.trouble.hosts = {deployment.hosts["front-a"]}
+            deployment.platform.trouble.hosts = {deployment.platform_hosts["front-a"]}
             await deployment.until(lambda: len(deployment.router.ready) == 1)
             await deployment.start("front-a")
             await deployment.until(lambda: len(deployment.router.ready) == 2)
+            self.assertGreater(deployment.platform.troubled, 0)
             self.assertTrue(await all_answered(flows))
 
     @run_async
@@ -197,7 +198,7 @@
                 await deployment.start(name)
                 await deployment.until_directory_has(name, len(AGENTS))
             # The agent that has lost its entry cannot write it again for now.
-            deployment.platform.trouble.hosts = {deployment.hosts["side-b1"]}
+            deployment.platform.trouble.hosts = {deployment.platform_hosts["side-b1"]}
             deployment.platform.trouble.mode = "busy"
             await deployment.platform.remove("berylturn-agents", "side-b1")
             others = [name for name in deployment.hosts if name != "side-b1"]
@@ -206,6 +207,7 @@
             # This balancer has no hint of any flow, so the agents search for it.
             deployment.router.choose = lambda flow: second
             self.assertTrue(await all_answered(flows), deployment.explain())
+            self.assertGreater(deployment.platform.troubled, 0)
 
     @run_async
     async def test_seeds_stand_in_for_the_platform(self) -> None:
