Compare what nodes hold by a checksum, and take a seed's word after a pull

Cause, found by reading for the red test: a node that reads the directory after a removal has nothing that tells of it, as the newest revision of what is left may be older. A follower with the same newest revision took its own copy as confirmed, and a partial share even raised the revision of that stale copy, so a later right one was refused. Nodes now compare a checksum of names and revisions; equal checksums are the only ground for leaving objects out of a share and for relying on a seed.

The daemon test now waits until each agent has logged that it leaves all kinds to seeds, where it could pass by chance before.

Ruled out: taking the revision of the first list as its newest change; each restart would make all nodes fetch the whole directory.

--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -109,6 +109,8 @@
         Where the balancer is.
     newest : list of int
         Newest revision of each kind of object that the balancer knows.
+    digests : list of int
+        Checksum of the objects of each kind that the balancer knows.
     following : bool
         Whether the platform serves the balancer's watches now.
     ask : bool
@@ -117,6 +119,7 @@
 
     data_centre: str
     newest: list[int]
+    digests: list[int]
     following: bool
     ask: bool
 
@@ -161,11 +164,14 @@
     ----------
     newest : list of int
         Newest revision of each kind of object that the sender knows.
+    digests : list of int
+        Checksum of the objects of each kind that the sender knows.
     following : bool
         Whether the platform serves the sender's watches now.
     """
 
     newest: list[int]
+    digests: list[int]
     following: bool
 
 
--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -1,43 +1,15 @@
-"""Keep copies of the platform's objects up to date, from the platform or from peers."""
+"""Copies of the platform's objects, and the parts of them that peers share."""
 
 from __future__ import annotations
 
-import asyncio
-import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 from enum import StrEnum
 from typing import Protocol
 
 import msgspec
 
-from ..clock import Clock
-from ..errors import PlatformError, PlatformUnavailable, WatchExpired
-from ..version.agent_directory import DirectoryTrust
 from ..version.snapshots import KindSnapshot, ObjectChange, StoredObject
-from .http_client import HttpConnection
-from .logs import log_event, log_warning
-from .tasks import TaskGroup
-
-# Pause after a failed call, doubled up to the longest; spread over the fleet.
-FIRST_PAUSE_SECONDS = 0.1
-LONGEST_PAUSE_SECONDS = 1.0
-# While the platform fails, one kind's calls find out when it serves again; the others
-# wait for that, but not longer than this.
-LONGEST_WAIT_SECONDS = 2.0
-# While the platform turns this node away, a peer is asked this often.
-PEER_PERIOD_SECONDS = 0.5
-PULL_TIMEOUT_SECONDS = 1.0
-# A relayed node follows the platform itself when no peer that does has been heard of
-# for this long; such peers confirm once a second, and one word of theirs may be lost.
-RELAY_SECONDS = 2.2
-RELAY_CHECK_SECONDS = 0.3
-# A node that has just read the platform waits this long for such a peer, which is asked
-# once a second.
-RELAY_START_SECONDS = 1.5
-# Pulls that frames of peers may cause.
-PULL_GAP_SECONDS = 0.3
-# Balancers tell each second what they know; two of these may be lost.
-AGREED_SECONDS = 3.5
+
 VIEW_PATH = "/view"
 STATE_PATH = "/state"
 
@@ -51,17 +23,6 @@
 
 
 KINDS = tuple(Kind)
-# Pause before the next watch after a change, doubled while changes go on, so that
-# changes in quick succession cost few calls a node. A single change is seen at once,
-# and peers tell of later ones meanwhile.
-FIRST_GATHER_SECONDS = 0.25
-LONGEST_GATHER_SECONDS = {
-    Kind.CONFIGURATION: 0.5,
-    Kind.EVACUATIONS: 0.5,
-    Kind.AGENTS: 1.0,
-}
-# A watch that waited this long ends a succession of changes.
-QUIET_WATCH_SECONDS = 2.0
 
 
 class ObjectStore(Protocol):
@@ -87,6 +48,7 @@
 class _SharedKind(msgspec.Struct, array_like=True):
     at_revision: int
     newest: int
+    digest: int
     # None where the asker has them already.
     objects: list[tuple[str, int, bytes]] | None
 
@@ -118,6 +80,11 @@
         """Return the newest known revision of each kind."""
         return [self.snapshots[kind].newest for kind in KINDS]
 
+    @property
+    def digests(self) -> list[int]:
+        """Return a checksum of what is known of each kind; 0 where nothing is."""
+        return [self.snapshots[kind].digest for kind in KINDS]
+
     def replace(
         self,
         kind: Kind,
@@ -140,294 +107,53 @@
         Parameters
         ----------
         path : str
-            What the peer asked for, with the revisions that it knows.
+            What the peer asked for, with the digests of what it knows.
         """
-        known = _parse_known(path)
+        known = zip(self.snapshots.items(), _parse_known(path), strict=True)
         shared = {
-            kind: _SharedKind(held.at_revision, held.newest, _share(held, revision))
-            for (kind, held), revision in zip(
-                self.snapshots.items(), known, strict=True
-            )
-            if held.known
+            kind: _share(held, digest) for (kind, held), digest in known if held.known
         }
         return _share_encoder.encode(shared)
 
     def export_path(self) -> str:
         """Return the path that asks a peer for what is missing here."""
-        return f"{VIEW_PATH}?known={'.'.join(map(str, self.newest))}"
+        return f"{VIEW_PATH}?known={'.'.join(map(str, self.digests))}"
 
     def merge(self, data: bytes) -> None:
         """Take what a peer exported; raises `msgspec.DecodeError`."""
         for kind, shared in _share_decoder.decode(data).items():
             if shared.objects is None:
-                self.snapshots[kind].confirm(shared.at_revision, shared.newest)
+                self.snapshots[kind].confirm(
+                    shared.at_revision, shared.newest, shared.digest
+                )
                 continue
             objects = [StoredObject(*item) for item in shared.objects]
             self.replace(kind, shared.at_revision, objects, shared.newest)
 
     def lacks(self, newest: list[int]) -> bool:
         """Tell whether a peer knows of a change that is missing here."""
-        return any(a > b for a, b in zip(newest, self.newest, strict=False))
-
-
-class ViewSync:
-    """Follow the platform, and peers while the platform turns this node away.
-
-    Parameters
-    ----------
-    view : ObjectView
-        Kept up to date.
-    store : ObjectStore
-        The platform.
-    tasks : TaskGroup
-        Owner of the tasks.
-    clock : Clock
-        Source of time.
-    peer_port : int
-        Port at which peers share their view.
-    list_peers : callable
-        Returns IP addresses of nodes that may know more, the likeliest first.
-    relayed : collection of Kind
-        Kinds that are read from the platform once and then left to peers that watch
-        it, so that calls grow more slowly than the fleet.
-    """
-
-    def __init__(
-        self,
-        view: ObjectView,
-        store: ObjectStore,
-        tasks: TaskGroup,
-        clock: Clock,
-        peer_port: int,
-        list_peers: Callable[[], list[str]],
-        relayed: Collection[Kind] = (),
-    ) -> None:
-        self._view = view
-        self._store = store
-        self._tasks = tasks
-        self._clock = clock
-        self._peer_port = peer_port
-        self._list_peers = list_peers
-        self._relayed = relayed
-        self._confirmed_at = float("-inf")
-        self._following: set[Kind] = set()
-        self._agents_agreed_at = float("-inf")
-        self._agents_known_at: float | None = None
-        self._asking: Kind | None = None
-        self._served = asyncio.Event()
-        self._pulled_at = float("-inf")
-        self._pulling = False
-
-    @property
-    def follows(self) -> bool:
-        """Tell whether the platform serves all watches of this node itself."""
-        return all(k in self._following and not self._is_relayed(k) for k in KINDS)
-
-    @property
-    def connected(self) -> bool:
-        """Tell whether the platform serves this node, or peers stand in for it."""
-        return all(k in self._following or self._is_relayed(k) for k in KINDS)
-
-    def directory_trust(self, now: float) -> DirectoryTrust:
-        """Return how far the directory of agents can be relied on.
-
-        Parameters
-        ----------
-        now : float
-            Seconds on the monotonic clock.
-        """
-        if self._agents_known_at is None:
-            return DirectoryTrust(False, 0.0)
-        agreed = now - self._agents_agreed_at < AGREED_SECONDS
-        return DirectoryTrust(agreed, now - self._agents_known_at)
+        held = [self.snapshots[kind].at_revision for kind in KINDS]
+        return any(a > b for a, b in zip(newest, held, strict=False))
 
-    def start(self) -> None:
-        """Start following."""
-        for kind in KINDS:
-            self._tasks.start(self._follow(kind), f"follow_{kind}")
-        self._tasks.start(self._ask_peers(), "ask_peers")
+    def misses(self, newest: list[int], digests: list[int]) -> bool:
+        """Tell whether a peer may hold what is missing here, a removal for instance."""
+        return self.lacks(newest) or (newest == self.newest and digests != self.digests)
 
-    def note_balancer(self, host: str, newest: list[int], following: bool) -> None:
-        """Compare with a balancer, whose openings come from what it knows.
-
-        Parameters
-        ----------
-        host : str
-            IP address of the balancer.
-        newest : list of int
-            Newest revision of each kind that it knows.
-        following : bool
-            Whether the platform serves its watches now.
-        """
-        if not self._view.lacks(newest):
-            self._agents_agreed_at = self._clock.monotonic()
-            if following:
-                self._confirmed_at = self._clock.monotonic()
-        self.note_peer(host, newest)
-
-    def note_peer(self, host: str, newest: list[int]) -> None:
-        """Pull from a peer that knows of a change which is missing here.
-
-        Parameters
-        ----------
-        host : str
-            IP address of the peer.
-        newest : list of int
-            Newest revision of each kind that it knows.
-        """
-        if self._view.lacks(newest):
-            self.pull_from(host)
-
-    def pull_from(self, host: str) -> None:
-        """Pull from a peer that has shown a newer configuration."""
-        now = self._clock.monotonic()
-        if not self._pulling and now - self._pulled_at >= PULL_GAP_SECONDS:
-            self._tasks.spawn(self._pull(host))
-
-    async def _follow(self, kind: Kind) -> None:
-        pause = FIRST_PAUSE_SECONDS
-        lost_at: float | None = None
-        listed = False
-        gather = FIRST_GATHER_SECONDS
-        while True:
-            try:
-                if self._is_relayed(kind):
-                    if lost_at is not None:
-                        log_event("platform_left_to_peers", kind=kind)
-                        lost_at = None
-                    listed = kind in self._following
-                    await asyncio.sleep(RELAY_CHECK_SECONDS)
-                    continue
-                if not listed:
-                    revision, objects = await self._store.list_objects(kind)
-                    self._view.replace(kind, revision, objects)
-                    self._note_answer(kind)
-                    self._note_served(kind)
-                    listed = True
-                    self._following.add(kind)
-                    if lost_at is not None:
-                        self._log_regained(kind, lost_at)
-                        lost_at = None
-                    if await self._finds_relay(kind):
-                        continue
-                position = self._view.snapshots[kind].at_revision
-                asked_at = self._clock.monotonic()
-                revision, changes = await self._store.watch_objects(kind, position)
-                self._view.apply(kind, revision, changes)
-                self._note_answer(kind)
-                pause = FIRST_PAUSE_SECONDS
-                if self._clock.monotonic() - asked_at > QUIET_WATCH_SECONDS:
-                    gather = FIRST_GATHER_SECONDS
-                if changes:
-                    await asyncio.sleep(gather)
-                    gather = min(2 * gather, LONGEST_GATHER_SECONDS[kind])
-            except WatchExpired:
-                log_event("watch_expired", kind=kind, revision=position)
-                listed = False
-            except PlatformError as error:
-                if lost_at is None:
-                    lost_at = self._clock.monotonic()
-                    self._following.discard(kind)
-                    log_warning("platform_lost", kind=kind, error=str(error))
-                listed = False
-                await self._wait_after_failure(kind, pause)
-                pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
-
-    async def _wait_after_failure(self, kind: Kind, pause: float) -> None:
-        """Wait before the next call, all kinds but one until that one is served."""
-        if self._asking is None:
-            self._asking = kind
-            self._served.clear()
-        if self._asking is kind:
-            await asyncio.sleep(pause * random.uniform(0.5, 1.0))
-            return
-        try:
-            async with asyncio.timeout(LONGEST_WAIT_SECONDS):
-                await self._served.wait()
-        except TimeoutError:
-            # The one that asks may itself be stuck on a silent connection.
-            return
-
-    def _note_served(self, kind: Kind) -> None:
-        if self._asking is kind:
-            self._asking = None
-            self._served.set()
-
-    def _note_answer(self, kind: Kind) -> None:
-        if kind is Kind.AGENTS:
-            self._agents_agreed_at = self._clock.monotonic()
-            self._note_directory()
-
-    def _note_directory(self) -> None:
-        known = self._view.snapshots[Kind.AGENTS].known
-        if known and self._agents_known_at is None:
-            self._agents_known_at = self._clock.monotonic()
-
-    def _is_relayed(self, kind: Kind) -> bool:
-        """Tell whether a peer that follows the platform keeps a kind up to date."""
-        silent = self._clock.monotonic() - self._confirmed_at
-        known = self._view.snapshots[kind].known
-        return known and kind in self._relayed and silent < RELAY_SECONDS
-
-    async def _finds_relay(self, kind: Kind) -> bool:
-        """Wait for a peer that follows the platform, for a node that just read it."""
-        if kind not in self._relayed:
-            return False
-        until = self._clock.monotonic() + RELAY_START_SECONDS
-        while not self._is_relayed(kind) and self._clock.monotonic() < until:
-            await asyncio.sleep(RELAY_CHECK_SECONDS)
-        return self._is_relayed(kind)
-
-    def _log_regained(self, kind: Kind, lost_at: float) -> None:
-        away = self._clock.monotonic() - lost_at
-        snapshot = self._view.snapshots[kind]
-        log_event(
-            "platform_regained",
-            kind=kind,
-            away_seconds=round(away, 3),
-            revision=snapshot.at_revision,
-            objects=len(snapshot.objects),
-        )
-
-    async def _ask_peers(self) -> None:
-        turn = 0
-        while True:
-            if not self.connected:
-                peers = self._list_peers()
-                if peers:
-                    await self._pull(peers[turn % len(peers)])
-                    turn += 1
-            await asyncio.sleep(PEER_PERIOD_SECONDS)
-
-    async def _pull(self, host: str) -> None:
-        self._pulling = True
-        connection = HttpConnection((host, self._peer_port))
-        before = self._view.newest
-        try:
-            answer = await connection.request(
-                "GET", self._view.export_path(), seconds=PULL_TIMEOUT_SECONDS
-            )
-            if answer.status == 200:
-                self._view.merge(answer.body)
-                self._note_directory()
-                if self._view.newest != before:
-                    log_event("view_pulled", peer=host, newest=self._view.newest)
-        except (PlatformUnavailable, msgspec.DecodeError) as error:
-            log_event("peer_not_reached", peer=host, error=str(error))
-        finally:
-            connection.close()
-            self._pulling = False
-            self._pulled_at = self._clock.monotonic()
+    def matches(self, newest: list[int], digests: list[int]) -> bool:
+        """Tell whether a peer holds the same, as of any revision known here."""
+        return not self.lacks(newest) and digests == self.digests
 
 
 def _parse_known(path: str) -> list[int]:
-    """Return the newest revisions in a peer's question; 0 for what it leaves out."""
+    """Return the digests in a peer's question; 0 for what it leaves out."""
     words = path.partition("?known=")[2].split(".")
     found = [int(word) if word.isdecimal() else 0 for word in words]
     return (found + [0] * len(KINDS))[: len(KINDS)]
 
 
-def _share(held: KindSnapshot, known: int) -> list[tuple[str, int, bytes]] | None:
-    if 0 < known == held.newest:
-        return None
-    return [(item.name, item.revision, item.body) for item in held.objects.values()]
+def _share(held: KindSnapshot, known: int) -> _SharedKind:
+    objects = None
+    if known != held.digest:
+        items = held.objects.values()
+        objects = [(item.name, item.revision, item.body) for item in items]
+    return _SharedKind(held.at_revision, held.newest, held.digest, objects)
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -211,7 +211,7 @@
             self._note_balancer(host, frame.data_centre, now)
             if frame.ask:
                 self._node.send(host, Load(self._rules.load_report(now)))
-            self._node.sync.note_balancer(host, frame.newest, frame.following)
+            self._node.sync.note_balancer(host, frame)
         elif type(frame) is Owned:
             self._board.hear(host, frame.load, now)
         elif type(frame) is Inquiry:
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -141,14 +141,14 @@
             directory = self._directory.expire(now)
             if directory is not None:
                 self._set_directory(directory)
+            newest, digests = node.view.newest, node.view.digests
+            following = node.sync.connected
             for host in self._rules.interesting(now):
                 age = self._board.age_of(host, now)
                 ask = age is None or age > REPORT_AGE_SECONDS
                 if ask:
                     self._board.ask(host, now)
-                node.send(
-                    host, Probe(centre, node.view.newest, node.sync.connected, ask)
-                )
+                node.send(host, Probe(centre, newest, digests, following, ask))
             for name, silent in self._rules.dead_agents(DEAD_SECONDS, now):
                 node.tasks.spawn(self._remove(name, silent))
             node.metrics.gauge("flow_hints", self._rules.hints)
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -30,13 +30,13 @@
     Kind,
     ObjectStore,
     ObjectView,
-    ViewSync,
 )
 from .settings import PassthroughAgentSettings, PassthroughBalancerSettings
 from .settings_file import SettingsFile
 from .sockets import Address, open_udp
 from .tasks import TaskGroup
 from .view_relay import ViewRelay, choose_relayed
+from .view_sync import ViewSync
 
 METRICS_PATH = "/metrics"
 CONFIGURATION_NAME = "main"
@@ -100,6 +100,7 @@
         self._on_change: Callable[[Kind], None] = lambda kind: None
         self._packets: asyncio.DatagramTransport | None = None
         self._peers: asyncio.DatagramTransport | None = None
+        self._relayed = choose_relayed(settings)
         self.sync = ViewSync(
             self.view,
             store,
@@ -107,7 +108,7 @@
             clock,
             settings.passthrough.peer_port,
             self._list_peers,
-            choose_relayed(settings),
+            self._relayed,
         )
         self.relay = ViewRelay(self.view, self.sync, self.send, self._seeds, clock)
         self.known_peers: Callable[[], list[str]] = list
@@ -170,7 +171,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.sync.start()
-        if choose_relayed(self.settings):
+        if self._relayed:
             self.tasks.start(self.relay.run(), "relay")
         log_event(
             "started",
--- a/src/berylturn/process/view_relay.py
+++ b/src/berylturn/process/view_relay.py
@@ -12,8 +12,9 @@
 
 from ..clock import Clock
 from ..connection.peer_frames import PeerFrame, ViewInquiry, ViewStatus
-from .object_view import KINDS, Kind, ObjectView, ViewSync
+from .object_view import KINDS, Kind, ObjectView
 from .settings import PassthroughAgentSettings, PassthroughBalancerSettings
+from .view_sync import ViewSync
 
 PassthroughSettings = PassthroughBalancerSettings | PassthroughAgentSettings
 
@@ -79,7 +80,7 @@
         if type(frame) is ViewStatus:
             if frame.following:
                 self._heard_at = now
-            self._sync.note_balancer(host, frame.newest, frame.following)
+            self._sync.note_balancer(host, frame)
             return
         self._followers.pop(host, None)
         self._followers[host] = now
@@ -98,7 +99,8 @@
                 self._send(host, self._status())
 
     def _status(self) -> ViewStatus:
-        return ViewStatus(self._view.newest, self._sync.follows)
+        view = self._view
+        return ViewStatus(view.newest, view.digests, self._sync.follows)
 
 
 def choose_relayed(settings: PassthroughSettings) -> frozenset[Kind]:
--- a/src/berylturn/version/snapshots.py
+++ b/src/berylturn/version/snapshots.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import zlib
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
+# Tells a kind that holds no objects from one that is not known, whose digest is 0.
+_DIGEST_START = 1
+
 
 @dataclass(frozen=True, slots=True)
 class StoredObject:
@@ -41,6 +45,19 @@
     at_revision: int = 0
     newest: int = 0
     objects: dict[str, StoredObject] = field(default_factory=dict)
+    _digest: int | None = field(default=0, repr=False, compare=False)
+
+    @property
+    def digest(self) -> int:
+        """Return a checksum of which objects there are at which revisions.
+
+        A snapshot read after a removal shows it by nothing else: the revisions of the
+        objects that are left may all be older.
+        """
+        if self._digest is None:
+            held = sorted((item.name, item.revision) for item in self.objects.values())
+            self._digest = zlib.crc32(repr(held).encode(), _DIGEST_START)
+        return self._digest
 
     @property
     def known(self) -> bool:
@@ -53,6 +70,7 @@
         """Take a complete snapshot; return whether it changed the content."""
         if at_revision <= self.at_revision:
             return False
+        self._digest = None
         fresh = {item.name: item for item in objects}
         changed = fresh != self.objects or not self.known
         removed = self.objects.keys() - fresh.keys()
@@ -64,16 +82,19 @@
         self.at_revision = at_revision
         return changed
 
-    def confirm(self, at_revision: int, newest: int) -> None:
-        """Take that nothing has changed up to a revision since a known change."""
-        if self.known and newest == self.newest:
+    def confirm(self, at_revision: int, newest: int, digest: int) -> None:
+        """Take that a later snapshot with the same digest has the same objects."""
+        if self.known and digest == self.digest:
             self.at_revision = max(self.at_revision, at_revision)
+            self.newest = max(self.newest, newest)
 
-    def apply(self, at_revision: int, changes: Iterable[ObjectChange]) -> bool:
+    def apply(self, at_revision: int, changes: Sequence[ObjectChange]) -> bool:
         """Apply what a watch from `at_revision` or before reported."""
         changed = False
         if at_revision <= self.at_revision:
             return False
+        if changes:
+            self._digest = None
         for change in changes:
             changed = self._apply_one(change, at_revision) or changed
         self.at_revision = at_revision
--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -215,6 +215,13 @@
             platform = deployment.platform
             # Each node has read each kind once; two balancers are the seeds. A watch
             # that an agent began while it was starved ends after 29 s.
+            for name in AGENTS:
+                await deployment.until(
+                    lambda n=name: (
+                        deployment.log_of(n).count('"platform_left_to_peers"') >= 3
+                    ),
+                    60,
+                )
             await deployment.until(lambda: platform.waiting == 3 * len(BALANCERS), 60)
             before = platform.calls
             await platform.put("evacuations", "dc-a", {})
--- a/tests/test_view_relay.py
+++ b/tests/test_view_relay.py
@@ -19,6 +19,7 @@
 from berylturn.process.view_relay import ViewRelay, choose_relayed
 
 NEWEST = [3, 2, 1]
+DIGESTS = [7, 8, 9]
 
 
 class FakeClock:
@@ -37,11 +38,12 @@
     def __init__(self, follows: bool) -> None:
         self.follows = follows
         self.newest = NEWEST
+        self.digests = DIGESTS
         self.confirmed: list[tuple[str, bool]] = []
         self.peers: list[str] = []
 
-    def note_balancer(self, host: str, newest: list[int], following: bool) -> None:
-        self.confirmed.append((host, following))
+    def note_balancer(self, host: str, claim: ViewStatus) -> None:
+        self.confirmed.append((host, claim.following))
 
     def note_peer(self, host: str, newest: list[int]) -> None:
         self.peers.append(host)
@@ -63,7 +65,7 @@
     def test_answer(self, follows: bool) -> None:
         self.sync.follows = follows
         self.relay.take("asker", ViewInquiry([9, 9, 9]))
-        self.assertEqual([("asker", ViewStatus(NEWEST, follows))], self.sent)
+        self.assertEqual([("asker", ViewStatus(NEWEST, DIGESTS, follows))], self.sent)
         # The asker may know more.
         self.assertEqual(["asker"], self.sync.peers)
 
@@ -100,7 +102,7 @@
             sent.append(host)
             following = answer(host)
             if following is not None:
-                relay.take(host, ViewStatus(NEWEST, following))
+                relay.take(host, ViewStatus(NEWEST, DIGESTS, following))
 
         relay = ViewRelay(sync, sync, send, lambda: ["s1", "s2", "s3"], clock)
         patched = unittest.mock.patch.object(view_relay.asyncio, "sleep", sleep)
