Start from a seed's copy, without a read of the platform

Cause: each start of a process read three lists though a seed keeps the node up to date from its first second on.

A node waits 0.1 s for a peer's copy, and with one 0.5 s for the word of a seed that follows the platform, then reads the platform as before. The first case of test_start failed before (one list a kind); the other two show that nothing is lost where the peer has no platform or there is no peer.

--- a/src/berylturn/process/view_sync.py
+++ b/src/berylturn/process/view_sync.py
@@ -33,6 +33,12 @@
 # A node that has just read the platform waits this long for such a peer, which is asked
 # once a second.
 RELAY_START_SECONDS = 1.5
+# A node that has just started waits this long for a first copy from a peer, which
+# answers within milliseconds, and this long for the word of one that follows the
+# platform; it asks the platform itself then.
+FIRST_COPY_SECONDS = 0.1
+FIRST_WORD_SECONDS = 0.5
+START_CHECK_SECONDS = 0.02
 # Pulls that frames of peers may cause.
 PULL_GAP_SECONDS = 0.3
 # Balancers tell each second what they know; two of these may be lost.
@@ -68,8 +74,8 @@
     list_peers : callable
         Returns IP addresses of nodes that may know more, the likeliest first.
     relayed : collection of Kind
-        Kinds that are read from the platform once and then left to peers that watch
-        it, so that calls grow more slowly than the fleet.
+        Kinds that are left to peers that watch the platform, so that calls grow more
+        slowly than the fleet. They are read from the platform where no peer has them.
     """
 
     def __init__(
@@ -181,6 +187,7 @@
         listed = False
         gather = FIRST_GATHER_SECONDS
         relayed = False
+        await self._start_from_peers(kind)
         while True:
             try:
                 if self._is_relayed(kind):
@@ -265,6 +272,18 @@
         known = self._view.snapshots[kind].known
         return known and kind in self._relayed and silent < RELAY_SECONDS
 
+    async def _start_from_peers(self, kind: Kind) -> None:
+        """Wait for a peer's copy and word, which spare the platform a list."""
+        if kind not in self._relayed:
+            return
+        began = self._clock.monotonic()
+        while not self._is_relayed(kind):
+            known = self._view.snapshots[kind].known
+            longest = FIRST_WORD_SECONDS if known else FIRST_COPY_SECONDS
+            if self._clock.monotonic() - began >= longest:
+                return
+            await asyncio.sleep(START_CHECK_SECONDS)
+
     async def _finds_relay(self, kind: Kind) -> bool:
         """Wait for a peer that follows the platform, for a node that just read it."""
         if kind not in self._relayed:
--- a/tests/test_view_sync.py
+++ b/tests/test_view_sync.py
@@ -235,6 +235,34 @@
 
         self.assertTrue(asyncio.run(play()))
 
+    @params(
+        ("the peer follows the platform", True, True, 0),
+        ("the peer has lost the platform", True, False, 1),
+        ("no peer", False, False, 1),
+    )
+    def test_start(self, _: str, peer: bool, following: bool, lists: int) -> None:
+        async def play() -> tuple[Counter[Kind], bool]:
+            store, tasks, clock = FailingStore(), TaskGroup(), SystemClock()
+            store.served.set()
+            view, seed = ObjectView(lambda kind: None), ObjectView(lambda kind: None)
+            for kind in KINDS:
+                seed.replace(kind, 7, [])
+            port = await _serve_view(seed)
+            peers = ["127.0.0.1"] if peer else []
+            sync = ViewSync(view, store, tasks, clock, port, lambda: peers, KINDS)
+            sync.start()
+            until = clock.monotonic() + 1.0
+            while clock.monotonic() < until:
+                if peer:
+                    sync.note_balancer("127.0.0.1", _claim_of(seed, following))
+                await asyncio.sleep(0.05)
+            await tasks.cancel_all()
+            return store.calls, view.complete
+
+        calls, complete = asyncio.run(play())
+        self.assertEqual(Counter({kind: lists for kind in KINDS}), calls)
+        self.assertTrue(complete)
+
 
 def _claim_of(view: ObjectView, following: bool) -> ViewStatus:
     return ViewStatus(view.newest, view.digests, following)
