Let agents pass on a seed's words in a large fleet

Cause: at the target size 5,650 nodes ask three seeds each second, 143 KB/s each where a node may spend 3 KB/s on control; and every node began with the first seed of the list.

Each node now works out from the directory whom it asks (version.relay_tree): seeds while the directory names at most 16 agents a seed, else a tree of the agents of its own data centre, three steps deep at the target size; the first seed is spread by a checksum. A word carries its age instead of a flag, so that nodes that ask one another in a circle lose their trust and follow the platform; before, a balancer's flag and an agent's could have kept each other up for ever once agents answer. A node whose parent falls silent asks the next one within 0.25 s of that, and goes back to the first after 30 s.

Ruled out: asking less often (a lost change would go unnoticed for a minute at this size), the answer with each question (three steps of up to a second each are older than the 2.2 s that a word holds; parents' words are passed on at once instead).

--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -111,8 +111,9 @@
         Newest revision of each kind of object that the balancer knows.
     digests : list of int
         Checksum of the objects of each kind that the balancer knows.
-    following : bool
-        Whether the platform serves the balancer's watches now.
+    word_age_ms : int or None
+        Milliseconds since a node that follows the platform said the same; 0 if it
+        is the balancer itself, None if there is none.
     ask : bool
         Whether a load report is wanted.
     """
@@ -120,7 +121,7 @@
     data_centre: str
     newest: list[int]
     digests: list[int]
-    following: bool
+    word_age_ms: int | None
     ask: bool
 
 
@@ -166,13 +167,14 @@
         Newest revision of each kind of object that the sender knows.
     digests : list of int
         Checksum of the objects of each kind that the sender knows.
-    following : bool
-        Whether the platform serves the sender's watches now.
+    word_age_ms : int or None
+        Milliseconds since a node that follows the platform said the same; 0 if it
+        is the sender itself, None if there is none.
     """
 
     newest: list[int]
     digests: list[int]
-    following: bool
+    word_age_ms: int | None
 
 
 PeerFrame = (
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -26,7 +26,7 @@
 from ..version.agent_directory import AgentDirectory, Directory
 from ..version.owners import AgentEntry
 from ..version.routes import ServiceLimits
-from .agent_entries import EntryKeeper, read_entries
+from .agent_entries import EntryKeeper
 from .http_server import Handler
 from .logs import log_event, log_warning
 from .object_view import Kind
@@ -276,7 +276,7 @@
         self._gate.set_limits(limits, self._node.now())
 
     def _read_directory(self) -> None:
-        entries = read_entries(self._node.view.snapshots[Kind.AGENTS])
+        entries = self._node.read_agents()
         self._set_directory(self._directory.replace(entries, self._node.now()))
 
     def _set_directory(self, directory: Directory) -> None:
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -11,7 +11,7 @@
 from ..connection.segments import Segment
 from ..errors import PacketError
 from ..version.agent_directory import AgentDirectory, Directory
-from .agent_entries import read_entries, remove_dead_entry
+from .agent_entries import remove_dead_entry
 from .http_server import Handler
 from .logs import log_event
 from .object_view import Kind
@@ -108,9 +108,9 @@
         node = self._node
         if kind is Kind.CONFIGURATION and node.table.version:
             self._rules.set_table(node.table)
-        agents = node.view.snapshots[Kind.AGENTS]
-        if kind is not Kind.CONFIGURATION and agents.known:
-            entries = read_entries(agents)
+        known = node.view.snapshots[Kind.AGENTS].known
+        if kind is not Kind.CONFIGURATION and known:
+            entries = node.read_agents()
             self._set_directory(self._directory.replace(entries, node.now()))
         node.carry_out(self._rules.release(node.now()))
 
@@ -142,13 +142,13 @@
             if directory is not None:
                 self._set_directory(directory)
             newest, digests = node.view.newest, node.view.digests
-            following = node.sync.connected
+            age_ms = node.sync.word_age_ms(now)
             for host in self._rules.interesting(now):
                 age = self._board.age_of(host, now)
                 ask = age is None or age > REPORT_AGE_SECONDS
                 if ask:
                     self._board.ask(host, now)
-                node.send(host, Probe(centre, newest, digests, following, ask))
+                node.send(host, Probe(centre, newest, digests, age_ms, ask))
             for name, silent in self._rules.dead_agents(DEAD_SECONDS, now):
                 node.tasks.spawn(self._remove(name, silent))
             node.metrics.gauge("flow_hints", self._rules.hints)
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -20,7 +20,9 @@
 )
 from ..connection.segments import SegmentCodec, describe_flow
 from ..errors import PacketError, PlatformError
+from ..version.owners import AgentEntry
 from ..version.routes import RouteTable
+from .agent_entries import read_entries
 from .http_server import Handler, HttpReply, HttpRequest, serve_http
 from .logs import BoundedLog, LogWriter, log_event, log_warning
 from .metrics import Metrics
@@ -35,7 +37,7 @@
 from .settings_file import SettingsFile
 from .sockets import Address, open_udp
 from .tasks import TaskGroup
-from .view_relay import ViewRelay, choose_relayed
+from .view_relay import RelayPlace, ViewRelay, choose_relayed
 from .view_sync import ViewSync
 
 METRICS_PATH = "/metrics"
@@ -110,7 +112,12 @@
             self._list_peers,
             self._relayed,
         )
-        self.relay = ViewRelay(self.view, self.sync, self.send, self._seeds, clock)
+        place = RelayPlace(
+            self.host, settings.node.data_centre, settings.passthrough.fan_out
+        )
+        self.relay = ViewRelay(
+            self.view, self.sync, self.send, place, self._seeds, clock
+        )
         self.known_peers: Callable[[], list[str]] = list
         self.on_settings: Callable[[], None] = lambda: None
         # What the command-line tool shows of this kind of daemon.
@@ -180,6 +187,13 @@
             data_centre=self.settings.node.data_centre,
         )
 
+    def read_agents(self) -> list[AgentEntry]:
+        """Return the entries of the directory; some agents pass on what seeds say."""
+        entries = read_entries(self.view.snapshots[Kind.AGENTS])
+        if self._relayed:
+            self.relay.set_agents(entries)
+        return entries
+
     def carry_out(self, effects: list[PassthroughEffect]) -> None:
         """Send what the rules want sent to callers and nodes."""
         for effect in effects:
--- a/src/berylturn/process/view_sync.py
+++ b/src/berylturn/process/view_sync.py
@@ -116,6 +116,23 @@
         """Tell whether the platform serves this node, or peers stand in for it."""
         return all(k in self._following or self._is_relayed(k) for k in KINDS)
 
+    def word_age_ms(self, now: float) -> int | None:
+        """Return the milliseconds since a node that follows the platform held the same.
+
+        Words age on their way from node to node, so nodes that ask each other in a
+        circle do not keep up their trust.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+        """
+        if self.follows:
+            return 0
+        if not self.connected:
+            return None
+        return int(1000 * (now - self._confirmed_at))
+
     def directory_trust(self, now: float) -> DirectoryTrust:
         """Return how far the directory of agents can be relied on.
 
@@ -178,8 +195,9 @@
             return
         self._claim = None
         self._agents_agreed_at = max(self._agents_agreed_at, heard_at)
-        if claim.following:
-            self._confirmed_at = max(self._confirmed_at, heard_at)
+        if claim.word_age_ms is not None:
+            true_at = heard_at - claim.word_age_ms / 1000
+            self._confirmed_at = max(self._confirmed_at, true_at)
 
     async def _follow(self, kind: Kind) -> None:
         pause = FIRST_PAUSE_SECONDS
--- a/src/berylturn_standins/opaque_deployment.py
+++ b/src/berylturn_standins/opaque_deployment.py
@@ -47,6 +47,8 @@
         Deployments with different numbers may run at the same time; 0 to 23.
     proxied : bool
         Whether fault proxies stand between daemons, and before the platform.
+    fan_out : int
+        How many daemons ask one for changes.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         steady: bool = False,
         network: int = 0,
         proxied: bool = False,
+        fan_out: int = 16,
     ) -> None:
         first = 10 * network + 6
         self.ports = Ports()
@@ -75,6 +78,7 @@
         }
         self.peer_proxies: dict[str, FaultProxy] = {}
         self.platform_proxies: dict[str, FaultProxy] = {}
+        self.fan_out = fan_out
         self.balancers = balancers
         self.agents = agents
         self.router = Router(
@@ -297,6 +301,7 @@
             f"heartbeats = {host}:{ports.heartbeats}",
             f"peer_port = {ports.peers}",
             f"seeds = {seeds}",
+            f"fan_out = {self.fan_out}",
             "grace = 6s",
             "[platform]",
             f"url = http://{platform}:{PLATFORM_PORT}",
--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -207,7 +207,7 @@
             # This balancer has no hint of any flow, so the agents search for it.
             deployment.router.choose = lambda flow: second
             self.assertTrue(await all_answered(flows), deployment.explain())
-            self.assertGreater(deployment.platform.troubled, 0)
+            await deployment.until(lambda: deployment.platform.troubled > 0)
 
     @run_async
     async def test_seeds_stand_in_for_the_platform(self) -> None:
@@ -232,6 +232,40 @@
             await deployment.until(lambda: platform.waiting == 3 * len(BALANCERS))
             self.assertEqual(len(BALANCERS), platform.calls - before)
 
+    @run_async
+    async def test_agents_pass_on_what_seeds_say(self) -> None:
+        # Two seeds and one follower each: one agent a data centre asks a seed.
+        agents = {f"side-{n}": ("dc-a", "desk") for n in range(4)}
+        async with OpaqueDeployment(BALANCERS, agents, fan_out=1) as deployment:
+            platform = deployment.platform
+            for name in agents:
+                await deployment.until(
+                    lambda n=name: (
+                        deployment.log_of(n).count('"platform_left_to_peers"') >= 3
+                    ),
+                    60,
+                )
+            behind = [
+                name for name in agents if '"relays_chosen"' in deployment.log_of(name)
+            ]
+            self.assertEqual(2, len(behind))
+            before = platform.calls
+            await platform.put("evacuations", "dc-b", {})
+            for name in deployment.hosts:
+                await deployment.until(
+                    lambda n=name: '"out":["dc-b"]' in deployment.log_of(n)
+                )
+            await deployment.until(lambda: platform.waiting == 3 * len(BALANCERS), 60)
+            self.assertEqual(len(BALANCERS), platform.calls - before)
+            for name in set(agents) - set(behind):
+                # Those behind these agents turn to the seeds.
+                await deployment.stop(name, signal.SIGKILL)
+            await platform.put("evacuations", "dc-c", {})
+            for name in behind:
+                await deployment.until(
+                    lambda n=name: '"out":["dc-b","dc-c"]' in deployment.log_of(n)
+                )
+
     @run_async
     async def test_agents_follow_the_platform_when_all_seeds_are_lost(self) -> None:
         async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
@@ -251,6 +285,12 @@
             await asyncio.gather(*(deployment.start(name) for name in AGENTS))
             for name in AGENTS:
                 await deployment.until_directory_has(name, len(AGENTS))
+                # An agent admits nobody before its server has reported.
+                await deployment.until(
+                    lambda n=name: (
+                        deployment.log_of(n).count('"event":"backend_state"') >= 2
+                    )
+                )
             await open_flows(deployment)
             self.assertEqual(0, deployment.platform.over_limit)
 
--- a/tests/test_view_relay.py
+++ b/tests/test_view_relay.py
@@ -16,10 +16,12 @@
     PassthroughAgentSettings,
     PassthroughBalancerSettings,
 )
-from berylturn.process.view_relay import ViewRelay, choose_relayed
+from berylturn.process.view_relay import RelayPlace, ViewRelay, choose_relayed
 
 NEWEST = [3, 2, 1]
 DIGESTS = [7, 8, 9]
+# Asks "s1" first.
+PLACE = RelayPlace("n0", "dc-a", fan_out=16)
 
 
 class FakeClock:
@@ -37,13 +39,17 @@
 
     def __init__(self, follows: bool) -> None:
         self.follows = follows
+        self.age: int | None = 0 if follows else None
         self.newest = NEWEST
         self.digests = DIGESTS
-        self.confirmed: list[tuple[str, bool]] = []
+        self.confirmed: list[tuple[str, int | None]] = []
         self.peers: list[str] = []
 
     def note_balancer(self, host: str, claim: ViewStatus) -> None:
-        self.confirmed.append((host, claim.following))
+        self.confirmed.append((host, claim.word_age_ms))
+
+    def word_age_ms(self, now: float) -> int | None:
+        return self.age
 
     def note_peer(self, host: str, newest: list[int]) -> None:
         self.peers.append(host)
@@ -56,16 +62,25 @@
         self.clock = FakeClock()
         self.sent: list[tuple[str, PeerFrame]] = []
         self.sync = FakeSync(follows=True)
-        self.relay = ViewRelay(self.sync, self.sync, self._send, lambda: [], self.clock)
+        self.relay = self._make_relay()
+
+    def _make_relay(self) -> ViewRelay:
+        return ViewRelay(
+            self.sync, self.sync, self._send, PLACE, lambda: [], self.clock
+        )
 
     def _send(self, host: str, frame: PeerFrame) -> None:
         self.sent.append((host, frame))
 
     @params((True,), (False,))
     def test_answer(self, follows: bool) -> None:
-        self.sync.follows = follows
+        self.sync = FakeSync(follows)
+        self.relay = self._make_relay()
         self.relay.take("asker", ViewInquiry([9, 9, 9]))
-        self.assertEqual([("asker", ViewStatus(NEWEST, DIGESTS, follows))], self.sent)
+        self.assertEqual(
+            [("asker", ViewStatus(NEWEST, DIGESTS, 0 if follows else None))],
+            self.sent,
+        )
         # The asker may know more.
         self.assertEqual(["asker"], self.sync.peers)
 
@@ -78,6 +93,46 @@
         self.assertEqual(told, len(self.sent))
 
 
+class TestRelayedWords(unittest.TestCase):
+    """A node passes on its parent's words, and never its own hope."""
+
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.sent: list[str] = []
+        self.sync = FakeSync(follows=False)
+        self.relay = ViewRelay(
+            self.sync, self.sync, self._send, PLACE, lambda: ["s1"], self.clock
+        )
+        self.relay.take("below", ViewInquiry(NEWEST))
+        self.sent.clear()
+
+    def _send(self, host: str, frame: PeerFrame) -> None:
+        self.sent.append(host)
+
+    @params(
+        ("at once", [(0.0, 0)], 1),
+        ("each second", [(0.0, 0), (1.0, 0)], 2),
+        ("not twice", [(0.0, 0), (0.1, 100)], 1),
+        ("not what comes back through a circle", [(0.0, 300), (0.6, 900)], 1),
+        ("not without word", [(0.0, None)], 0),
+    )
+    def test_words(
+        self, _: str, words: list[tuple[float, int | None]], told: int
+    ) -> None:
+        start = self.clock.now
+        for after, age in words:
+            self.clock.now = start + after
+            self.sync.age = age
+            self.relay.take("above", ViewStatus(NEWEST, DIGESTS, age))
+        self.assertEqual(["below"] * told, self.sent)
+
+    def test_known_follower_waits_for_the_next_word(self) -> None:
+        self.relay.take("below", ViewInquiry(NEWEST))
+        self.assertEqual([], self.sent)
+        self.relay.take("new", ViewInquiry(NEWEST))
+        self.assertEqual(["new"], self.sent)
+
+
 class TestFollower(unittest.TestCase):
     """A follower stays with a seed that answers, and leaves one that does not."""
 
@@ -102,9 +157,11 @@
             sent.append(host)
             following = answer(host)
             if following is not None:
-                relay.take(host, ViewStatus(NEWEST, DIGESTS, following))
+                age = 0 if following else None
+                relay.take(host, ViewStatus(NEWEST, DIGESTS, age))
 
-        relay = ViewRelay(sync, sync, send, lambda: ["s1", "s2", "s3"], clock)
+        seeds = ["s1", "s2", "s3"]
+        relay = ViewRelay(sync, sync, send, PLACE, lambda: seeds, clock)
         patched = unittest.mock.patch.object(view_relay.asyncio, "sleep", sleep)
         with patched, self.assertRaises(asyncio.CancelledError):
             asyncio.run(relay.run())
@@ -114,6 +171,32 @@
             self.assertEqual(1, len(set(sent[3:])))
 
 
+class TestReturn(unittest.TestCase):
+    """A node goes back to its first parent, so that seeds stay with few followers."""
+
+    @params(("it is back", True, "s1"), ("it is not", False, "s2"))
+    def test_first_parent(self, _: str, back: bool, last: str) -> None:
+        clock, sync = FakeClock(), FakeSync(follows=False)
+        sent: list[str] = []
+
+        async def sleep(seconds: float) -> None:
+            clock.now += seconds
+            if clock.now > 140:
+                raise asyncio.CancelledError
+
+        def send(host: str, frame: PeerFrame) -> None:
+            sent.append(host)
+            if host == "s2" or (back and clock.now > 110):
+                relay.take(host, ViewStatus(NEWEST, DIGESTS, 0))
+
+        relay = ViewRelay(sync, sync, send, PLACE, lambda: ["s1", "s2"], clock)
+        patched = unittest.mock.patch.object(view_relay.asyncio, "sleep", sleep)
+        with patched, self.assertRaises(asyncio.CancelledError):
+            asyncio.run(relay.run())
+        self.assertEqual([last] * 3, sent[-3:])
+        self.assertLess(len(sent), 45)
+
+
 class TestChoice(unittest.TestCase):
     """Somebody watches each kind whatever the seeds are."""
 
--- a/tests/test_view_sync.py
+++ b/tests/test_view_sync.py
@@ -53,11 +53,14 @@
         return revision, []
 
 
-class StoppedClock:
-    """A clock whose readings never grow old."""
+class FakeClock:
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
 
     def monotonic(self) -> float:
-        return 100.0
+        return self.now
 
 
 class TestOutage(unittest.TestCase):
@@ -183,7 +186,7 @@
             until = clock.monotonic() + 2.0
             while clock.monotonic() < until:
                 # Pulls from this peer fail; its datagrams arrive.
-                claim = ViewStatus([newest] * 3, view.digests, True)
+                claim = ViewStatus([newest] * 3, view.digests, 0)
                 sync.note_balancer("127.0.0.1", claim)
                 await asyncio.sleep(0.1)
             await tasks.cancel_all()
@@ -221,7 +224,7 @@
             store, tasks = FailingStore(), TaskGroup()
             view, seed = ObjectView(lambda kind: None), ObjectView(lambda kind: None)
             port = await _serve_view(seed)
-            sync = ViewSync(view, store, tasks, StoppedClock(), port, list, KINDS)
+            sync = ViewSync(view, store, tasks, FakeClock(), port, list, KINDS)
             for kind in KINDS:
                 view.replace(kind, 7, [StoredObject("lost", 7, b"")])
                 seed.replace(kind, 10, objects, newest)
@@ -235,6 +238,28 @@
 
         self.assertTrue(asyncio.run(play()))
 
+    @params(("they ask each other", False), ("a seed goes on speaking", True))
+    def test_circle(self, _: str, speaks: bool) -> None:
+        clock = FakeClock()
+        syncs = []
+        for _ in range(2):
+            view = ObjectView(lambda kind: None)
+            for kind in KINDS:
+                view.replace(kind, 7, [])
+            store, tasks = FailingStore(), TaskGroup()
+            syncs.append(ViewSync(view, store, tasks, clock, PEER_PORT, list, KINDS))
+        first, second = syncs
+        first.note_balancer("seed", _claim_of(view, True))
+        for _ in range(8):
+            for sync, other in ((first, second), (second, first)):
+                age = other.word_age_ms(clock.now)
+                sync.note_balancer("other", ViewStatus(view.newest, view.digests, age))
+            self.assertTrue(first.connected or clock.now > 102)
+            clock.now += 0.5
+            if speaks:
+                first.note_balancer("seed", _claim_of(view, True))
+        self.assertEqual([speaks] * 2, [sync.connected for sync in syncs])
+
     @params(
         ("the peer follows the platform", True, True, 0),
         ("the peer has lost the platform", True, False, 1),
@@ -265,7 +290,7 @@
 
 
 def _claim_of(view: ObjectView, following: bool) -> ViewStatus:
-    return ViewStatus(view.newest, view.digests, following)
+    return ViewStatus(view.newest, view.digests, 0 if following else None)
 
 
 async def _serve_view(view: ObjectView) -> int:
