Play a calm minute in the demo, and the soak with agents that pass on words

The demo played ten seconds on flows that stayed open; it plays a minute now and opens its flows anew each 15 s. The soak takes the fan-out as an option, so that the tree of relays can be played with few daemons.

--- a/src/berylturn_standins/opaque_demo.py
+++ b/src/berylturn_standins/opaque_demo.py
@@ -1,4 +1,4 @@
-"""Play calm seconds of passthrough flows beside the platform's stand-in."""
+"""Play a calm minute of passthrough flows beside the platform's stand-in."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 
 from berylturn.clock import SystemClock
 
+from .opaque import CallerFlow
 from .opaque_deployment import SERVICE_ADDRESS, OpaqueDeployment
 
 BALANCERS = {"front-a": "patan-hall", "front-b": "thamel-bar"}
@@ -19,6 +20,8 @@
 }
 FLOWS = 20
 PAUSE_SECONDS = 0.2
+# Flows are opened anew this often; the daemons may forget one after a minute.
+FLOW_SECONDS = 15.0
 CLOCK = SystemClock()
 
 
@@ -26,17 +29,22 @@
     """Send requests on long flows and return how many were not answered."""
     asked = missed = 0
     async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
-        opened = [await deployment.callers.open(SERVICE_ADDRESS) for _ in range(FLOWS)]
-        flows = [flow for flow in opened if flow is not None]
-        missed += FLOWS - len(flows)
+        flows: list[CallerFlow] = []
+        opened = 0
+        renew_at = CLOCK.monotonic()
         until = CLOCK.monotonic() + seconds
         half = CLOCK.monotonic() + seconds / 2
         stopped = False
         while CLOCK.monotonic() < until:
+            if CLOCK.monotonic() >= renew_at:
+                flows = await open_flows(deployment)
+                opened += len(flows)
+                missed += FLOWS - len(flows)
+                renew_at += FLOW_SECONDS
             answers = await asyncio.gather(*(flow.ask() for flow in flows))
             asked += len(answers)
             missed += answers.count(False)
-            print(f"\r{asked} requests on {len(flows)} flows", end="", flush=True)
+            print(f"\r{asked} requests on {opened} flows", end="", flush=True)
             if not stopped and CLOCK.monotonic() > half:
                 await deployment.stop("front-a")
                 await deployment.until(lambda: len(deployment.router.ready) == 1)
@@ -47,7 +55,13 @@
     return missed
 
 
-def main(seconds: float = 10.0) -> None:
+async def open_flows(deployment: OpaqueDeployment) -> list[CallerFlow]:
+    """Return the flows that could be opened."""
+    opened = [await deployment.callers.open(SERVICE_ADDRESS) for _ in range(FLOWS)]
+    return [flow for flow in opened if flow is not None]
+
+
+def main(seconds: float = 60.0) -> None:
     """Run the demo; exit with 1 when a request was not answered."""
     sys.exit(1 if asyncio.run(play(seconds)) else 0)
 
--- a/src/berylturn_standins/soak.py
+++ b/src/berylturn_standins/soak.py
@@ -16,9 +16,11 @@
 from .soak_play import Soak
 
 
-async def run_seed(seed: int, seconds: float, network: int, folder: Path) -> list[str]:
+async def run_seed(
+    seed: int, seconds: float, network: int, folder: Path, fan_out: int = 16
+) -> list[str]:
     """Play one seed, keep the logs if something is broken, and return what is."""
-    soak = Soak(seed, seconds, network)
+    soak = Soak(seed, seconds, network, fan_out)
     broken = await soak.run()
     if broken:
         soak.keep_logs(folder / f"seed-{seed}")
@@ -34,6 +36,7 @@
     seconds: float = SOAK_SECONDS,
     network: int = 0,
     folder: str = "run/soak",
+    fan_out: int = 16,
 ) -> None:
     """Play some seeds one after the other; exit with 1 if any promise was broken."""
     # A soak that is ended early ends its daemons too.
@@ -41,7 +44,7 @@
     failed = [
         number
         for number in range(seed, seed + count)
-        if asyncio.run(run_seed(number, seconds, network, Path(folder)))
+        if asyncio.run(run_seed(number, seconds, network, Path(folder), fan_out))
     ]
     print(f"{count} seeds played, broken: {failed}")
     sys.exit(1 if failed else 0)
--- a/src/berylturn_standins/soak_play.py
+++ b/src/berylturn_standins/soak_play.py
@@ -65,15 +65,19 @@
         Length of the load.
     network : int
         Number of the loopback network to use.
+    fan_out : int
+        How many daemons ask one for changes.
     """
 
-    def __init__(self, seed: int, seconds: float, network: int = 0) -> None:
+    def __init__(
+        self, seed: int, seconds: float, network: int = 0, fan_out: int = 16
+    ) -> None:
         self.acts = plan_acts(seed, seconds)
         self.seconds = seconds
         self.broken: list[str] = []
         self.counts: Counter[str] = Counter()
         self.deployment = OpaqueDeployment(
-            BALANCERS, AGENTS, bool(seed % 2), network, proxied=True
+            BALANCERS, AGENTS, bool(seed % 2), network, proxied=True, fan_out=fan_out
         )
         self._started = 0.0
         self._disturbed_until = 0.0
