--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -140,7 +140,7 @@
         return self.lacks(newest) or (newest == self.newest and digests != self.digests)
 
     def matches(self, newest: list[int], digests: list[int]) -> bool:
-        """Tell whether a peer holds the same, as of any revision known here."""
+        """Tell whether a peer that knows no later change holds the same objects."""
         return not self.lacks(newest) and digests == self.digests
 
 
--- a/src/berylturn/process/settings.py
+++ b/src/berylturn/process/settings.py
@@ -184,8 +184,8 @@
         str | None,
         Meta(description="IP address to listen on for other daemons, if not `host`"),
     ] = None
-    # 117 B a second each and half as many balancers on top, of the 3 KB a second that
-    # a node spends on control at the target size.
+    # 111 B a second each, and balancers on top, of the 3 KB a second that a node spends
+    # on control at the target size.
     fan_out: Annotated[
         int, Meta(ge=1, le=1_000, description="how many daemons ask one for changes")
     ] = 16
