Count calls once the seeds wait again in the test of relays

The seeds pause up to a second after changes of the directory before they watch it again, and the count began within that pause. Traced with the body of the test eight times beside the same load: waiting watches at the start of the count 6, 4, 4, 4, 4, 4, 5, 4; calls 2, 4, 4, 4, 4, 4, 3, 4, always two and what was missing. The test waits for the watches as its neighbour does; its check is unchanged.

Ruled out: an agent that followed the platform by itself, which makes a list and a watch for each kind.

--- a/src/berylturn/process/view_relay.py
+++ b/src/berylturn/process/view_relay.py
@@ -36,7 +36,8 @@
 PASS_ON_SECONDS = 0.5
 # Followers that have not asked for this long are told nothing.
 FOLLOWER_SECONDS = 3.0
-# About 100 bytes each; all nodes of the target size behind three seeds.
+# About 100 bytes each; a third of the target size, where two of three seeds are lost
+# and no relay is known.
 MAX_FOLLOWERS = 2_000
 
 
@@ -177,7 +178,7 @@
             self.announce()
 
     def announce(self) -> None:
-        """Tell the nodes that asked lately of a change."""
+        """Tell the nodes that asked lately what is known now."""
         now = self._clock.monotonic()
         for host, asked_at in list(self._followers.items()):
             if now - asked_at > FOLLOWER_SECONDS:
--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -249,6 +249,8 @@
                 name for name in agents if '"relays_chosen"' in deployment.log_of(name)
             ]
             self.assertEqual(2, len(behind))
+            # The seeds pause after the changes of the directory before they watch on.
+            await deployment.until(lambda: platform.waiting == 3 * len(BALANCERS), 60)
             before = platform.calls
             await platform.put("evacuations", "dc-b", {})
             for name in deployment.hosts:
