Share what two tests of seeds wait for

Both waited in the same words for agents that rely on seeds, and for every daemon to know of an evacuation. Their checks are unchanged; the wait for the evacuation is for every daemon in both, as before.

--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -45,6 +45,30 @@
     return all(await asyncio.gather(*(flow.ask() for flow in flows)))
 
 
+async def until_seeds_wait_alone(deployment: OpaqueDeployment) -> None:
+    """Wait until agents rely on seeds, and only seeds wait for the platform.
+
+    A watch that an agent began while it was starved ends after 29 s, and seeds pause
+    after changes of the directory before they watch on.
+    """
+    for name in deployment.agents:
+        await deployment.until(
+            lambda n=name: deployment.log_of(n).count('"platform_left_to_peers"') >= 3,
+            60,
+        )
+    await deployment.until(
+        lambda: deployment.platform.waiting == 3 * len(BALANCERS), 60
+    )
+
+
+async def until_out(deployment: OpaqueDeployment, data_centre: str) -> None:
+    """Wait until every daemon knows that one data centre alone is out."""
+    for name in deployment.hosts:
+        await deployment.until(
+            lambda n=name: f'"out":["{data_centre}"]' in deployment.log_of(n)
+        )
+
+
 class TestDaemons(unittest.TestCase):
     """Flows live on whatever happens to the processes of the system."""
 
@@ -213,22 +237,10 @@
     async def test_seeds_stand_in_for_the_platform(self) -> None:
         async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
             platform = deployment.platform
-            # Each node has read each kind once; two balancers are the seeds. A watch
-            # that an agent began while it was starved ends after 29 s.
-            for name in AGENTS:
-                await deployment.until(
-                    lambda n=name: (
-                        deployment.log_of(n).count('"platform_left_to_peers"') >= 3
-                    ),
-                    60,
-                )
-            await deployment.until(lambda: platform.waiting == 3 * len(BALANCERS), 60)
+            await until_seeds_wait_alone(deployment)
             before = platform.calls
             await platform.put("evacuations", "dc-a", {})
-            for name in deployment.hosts:
-                await deployment.until(
-                    lambda n=name: '"out":["dc-a"]' in deployment.log_of(n)
-                )
+            await until_out(deployment, "dc-a")
             await deployment.until(lambda: platform.waiting == 3 * len(BALANCERS))
             self.assertEqual(len(BALANCERS), platform.calls - before)
 
@@ -238,25 +250,14 @@
         agents = {f"side-{n}": ("dc-a", "desk") for n in range(4)}
         async with OpaqueDeployment(BALANCERS, agents, fan_out=1) as deployment:
             platform = deployment.platform
-            for name in agents:
-                await deployment.until(
-                    lambda n=name: (
-                        deployment.log_of(n).count('"platform_left_to_peers"') >= 3
-                    ),
-                    60,
-                )
+            await until_seeds_wait_alone(deployment)
             behind = [
                 name for name in agents if '"relays_chosen"' in deployment.log_of(name)
             ]
             self.assertEqual(2, len(behind))
-            # The seeds pause after the changes of the directory before they watch on.
-            await deployment.until(lambda: platform.waiting == 3 * len(BALANCERS), 60)
             before = platform.calls
             await platform.put("evacuations", "dc-b", {})
-            for name in deployment.hosts:
-                await deployment.until(
-                    lambda n=name: '"out":["dc-b"]' in deployment.log_of(n)
-                )
+            await until_out(deployment, "dc-b")
             await deployment.until(lambda: platform.waiting == 3 * len(BALANCERS), 60)
             self.assertEqual(len(BALANCERS), platform.calls - before)
             for name in set(agents) - set(behind):
