--- a/tests/test_object_view.py
+++ b/tests/test_object_view.py
@@ -55,3 +55,13 @@
         self.assertTrue(peer.matches(fresh.newest, fresh.digests))
         # The node that read the platform has nothing to fetch in return.
         self.assertFalse(fresh.misses(peer.newest, peer.digests))
+
+    def test_copy_of_a_list_that_changed_between_its_pages(self) -> None:
+        listed, peer = ObjectView(lambda kind: None), ObjectView(lambda kind: None)
+        # The first page is of revision 10; the second has an object written at 12.
+        objects = [StoredObject("a", 3, b""), StoredObject("b", 12, b"")]
+        listed.replace(Kind.AGENTS, 10, objects)
+        peer.merge(listed.export(peer.export_path()))
+        self.assertEqual(listed.digests, peer.digests)
+        # Else the peer fetches the same copy again with every frame of the other.
+        self.assertFalse(peer.lacks(listed.newest))
