Keep deletions and listed objects right, and stop fetches of one copy without end

Cause: ObjectView.is_behind compared a peer's newest revision with the revision of the own list, which is the lowest of its pages, so a copy with a newer object on a later page counted as behind itself. ObjectStore took a name that it knew as not deleted, whatever the last complete list said of it: a copy written and deleted between two lists came back, and a listed copy that arrived again after a newer invalid version counted as deleted. Ruled out: raising the revision of each tombstone with each list, which would change the digests of all nodes at each list. Change: is_behind compares with the newest object held as well; the store keeps the names of the last complete list, and a copy at or below its revision is stale exactly if its name is not among them.

--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -136,8 +136,13 @@
             self.replace(kind, shared.at_revision, objects, shared.newest)
 
     def is_behind(self, newest: list[int]) -> bool:
-        """Tell whether a peer knows a later change than this copy has."""
-        revisions = [self.snapshots[kind].at_revision for kind in KINDS]
+        """Tell whether a peer knows a later change than this copy has.
+
+        A list whose pages are of several revisions may hold objects that are newer
+        than the revision as of which it is complete.
+        """
+        snapshots = (self.snapshots[kind] for kind in KINDS)
+        revisions = [max(item.at_revision, item.newest) for item in snapshots]
         return any(a > b for a, b in zip(newest, revisions, strict=False))
 
     def needs_pull(self, newest: list[int], digests: list[int]) -> bool:
--- a/src/berylturn/version/objects.py
+++ b/src/berylturn/version/objects.py
@@ -44,6 +44,7 @@
     _older_valid: dict[str, ConfigObject] = field(default_factory=dict)
     _invalid_since: dict[str, int] = field(default_factory=dict)
     _complete_revision: int = 0
+    _listed_names: frozenset[str] = frozenset()
     _bucket_digests: list[int] = field(default_factory=lambda: [0] * BUCKETS)
 
     def __len__(self) -> int:
@@ -89,6 +90,9 @@
         platform no longer keeps the deletion.
         """
         listed = {item.name: item for item in objects}
+        if revision >= self._complete_revision:
+            self._complete_revision = revision
+            self._listed_names = frozenset(listed)
         tombstones = [
             ConfigObject(item.name, revision, None)
             for item in self._newest.values()
@@ -96,9 +100,7 @@
             and item.body is not None
             and item.version <= revision
         ]
-        changed = self.merge([*listed.values(), *tombstones])
-        self._complete_revision = max(self._complete_revision, revision)
-        return changed
+        return self.merge([*listed.values(), *tombstones])
 
     def tombstone(self, name: str) -> list[ConfigObject]:
         """Return a deletion if the platform is known to have no object of that name."""
@@ -140,11 +142,11 @@
         return True
 
     def _tombstone_if_deleted(self, item: ConfigObject) -> ConfigObject:
-        """Replace a stale copy of an object that the platform deleted by a deletion."""
-        if item.version > self._complete_revision:
-            return item
-        invalid_since = self._invalid_since.get(item.name, 0)
-        if item.name in self._newest and invalid_since <= self._complete_revision:
+        """Replace a stale copy of an object that the platform deleted by a deletion.
+
+        The last complete list shows all deletions up to its revision.
+        """
+        if item.version > self._complete_revision or item.name in self._listed_names:
             return item
         return ConfigObject(item.name, self._complete_revision, None)
 
