Wait for the directory before agents are expected to have chosen relays

Cause, shown by eight busy processes beside the test (two misses in ten runs): the test counted agents with a line relays_chosen while one of them had not yet copied the directory with all four entries; its log had no view_pulled of that revision, and two seconds later the line was there. Ruled out: a line that was not flushed yet (the missing agent had no copy to choose from). Change: the test waits until each agent holds all entries and one flush of the logs, and reads the last choice in place of any line; two followers are expected as before.

--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import functools
+import json
 import signal
 import unittest
 from collections.abc import Awaitable, Callable
 
 from nose2.tools import params
 
+from berylturn.process.logs import FLUSH_SECONDS
 from berylturn_standins.opaque_deployment import SERVICE_ADDRESS, OpaqueDeployment
 
 BALANCERS = {"front-a": "dc-a", "front-b": "dc-b"}
@@ -47,6 +49,12 @@
     return all(await asyncio.gather(*(flow.send_request() for flow in flows)))
 
 
+def read_relays(log: str) -> list[str]:
+    """Return the relays that an agent chose last."""
+    lines = [json.loads(line) for line in log.splitlines() if '"relays_chosen"' in line]
+    return lines[-1]["relays"] if lines else []
+
+
 async def wait_until_only_seeds_watch(deployment: OpaqueDeployment) -> None:
     """Wait until agents get changes from seeds, and only seeds watch the platform.
 
@@ -264,11 +272,13 @@
         agents = {f"side-{n}": ("dc-a", "desk") for n in range(4)}
         async with OpaqueDeployment(BALANCERS, agents, fan_out=1) as deployment:
             platform = deployment.platform
+            # Agents choose by the directory, which reaches them in steps.
+            for name in agents:
+                await deployment.wait_for_entry_count(name, len(agents))
             await wait_until_only_seeds_watch(deployment)
+            await asyncio.sleep(2 * FLUSH_SECONDS)
             followers = [
-                name
-                for name in agents
-                if '"relays_chosen"' in deployment.read_log(name)
+                name for name in agents if read_relays(deployment.read_log(name))
             ]
             self.assertEqual(2, len(followers))
             before = platform.calls
