Survive odd entries of other writers: one door for decoding, supervised tasks

Cause: decoders caught msgspec's error only, and deep nesting raises RecursionError: in a heartbeat it went to the HTTP handler, in one entry of a list it made the whole reply unreadable, so that a node stopped following the platform, and an unexpected error in a task that runs all along ended the process. Numbers without bound and ports out of range were accepted in heartbeats; weights of 0 and hosts that are no address reached the ranking and the sockets. Ruled out: catching RecursionError at each caller (nine places decode), and dropping a reply that cannot be read (the other entries hold). Lists and watches are decoded item by item. Heartbeats, entries, routes and load reports are bounded. TaskGroup starts a failed task again after 0.5 s, logs its place and counts it; errors of callbacks of the event loop are logged as JSON. Each version of an entry is decoded once, so an odd one is logged once.

--- a/src/berylturn/connection/frames.py
+++ b/src/berylturn/connection/frames.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..decoding import decode_value
 from ..domain import ConfigObject, MemberState
 from ..errors import PacketError
 from .keys import KeyRing
@@ -157,9 +158,9 @@
     """
     body = data[SIGNATURE_BYTES:]
     keys.verify(data[:SIGNATURE_BYTES], body)
-    try:
-        return _decoder.decode(body)
-    except msgspec.DecodeError as error:
-        raise PacketError(
-            "frame is malformed; run the same release on every node"
-        ) from error
+    return decode_value(
+        _decoder,
+        body,
+        PacketError,
+        "frame is malformed; run the same release on every node",
+    )
--- a/src/berylturn/connection/packets.py
+++ b/src/berylturn/connection/packets.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..decoding import decode_value
 from ..domain import CloseReason, RefusalReason
 from ..errors import PacketError
 
@@ -195,12 +196,12 @@
     """Return the caller's packet in `data`; raise `PacketError` if it is invalid."""
     if len(data) > MAX_DATAGRAM_BYTES:
         raise PacketError(f"datagram has {len(data)} bytes; send at most 1200")
-    try:
-        packet = _from_caller.decode(data)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise PacketError(
-            "datagram is malformed; encode it as in docs/CALLERS.md"
-        ) from error
+    packet = decode_value(
+        _from_caller,
+        data,
+        PacketError,
+        "datagram is malformed; encode it as in docs/CALLERS.md",
+    )
     if type(packet) is Open and len(packet.flow_id) != FLOW_ID_BYTES:
         raise PacketError("flow identifier is not 16 bytes long; use 128 random bits")
     return packet
@@ -208,9 +209,9 @@
 
 def decode_to_caller(data: bytes) -> ToCallerPacket:
     """Return the packet for a caller in `data`; raise `PacketError` if invalid."""
-    try:
-        return _to_caller.decode(data)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise PacketError(
-            "datagram is malformed; run the same release at both ends"
-        ) from error
+    return decode_value(
+        _to_caller,
+        data,
+        PacketError,
+        "datagram is malformed; run the same release at both ends",
+    )
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -7,10 +7,17 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
+from ..decoding import decode_value
 from ..errors import PacketError
 
+# Upper bound of the requests and slots of one server that a report may state.
+MAX_REQUESTS = 1_000_000
+
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
     """Load of an agent's backend server.
@@ -38,10 +45,10 @@
     """
 
     accepting: bool
-    busy: float
-    running: int
-    slots: int
-    flows: int
+    busy: Annotated[float, Meta(ge=0, le=MAX_REQUESTS)]
+    running: Annotated[int, Meta(ge=0, le=MAX_REQUESTS)]
+    slots: Annotated[int, Meta(ge=1, le=MAX_REQUESTS)]
+    flows: Annotated[int, Meta(ge=0)]
     newest: list[int]
     stopping: bool = False
     cold: bool = False
@@ -207,12 +214,12 @@
 
 def decode_frame(data: bytes) -> PeerFrame:
     """Return the frame in a datagram or raise `PacketError`."""
-    try:
-        return _decoder.decode(data)
-    except msgspec.DecodeError as error:
-        raise PacketError(
-            f"peer frame is malformed; run the same release on every node: {error}"
-        ) from error
+    return decode_value(
+        _decoder,
+        data,
+        PacketError,
+        "peer frame is malformed; run the same release on every node",
+    )
 
 
 def next_forward(
--- a/src/berylturn/connection/snapshot.py
+++ b/src/berylturn/connection/snapshot.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..decoding import decode_value
 from ..domain import RefusalReason
 from ..errors import PacketError
 from ..request.ledger import Answered, DidNotRun, MayHaveRun, Outcome
@@ -92,14 +93,17 @@
     return data
 
 
+_decoder = msgspec.msgpack.Decoder(Snapshot)
+
+
 def read_snapshot(data: bytes) -> Snapshot:
     """Return the snapshot in `data`; raise `PacketError` if it is malformed."""
-    try:
-        return msgspec.msgpack.decode(data, type=Snapshot)
-    except msgspec.DecodeError as error:
-        raise PacketError(
-            "snapshot is malformed; run the same release before and after a restart"
-        ) from error
+    return decode_value(
+        _decoder,
+        data,
+        PacketError,
+        "snapshot is malformed; run the same release before and after a restart",
+    )
 
 
 def restore_flows(rules: AgentRules, snapshot: Snapshot, now: float) -> None:
--- a/src/berylturn/connection/token.py
+++ b/src/berylturn/connection/token.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..decoding import decode_value
 from ..errors import AuthenticationError
 from .keys import MAC_BYTES, KeyRing
 
@@ -48,9 +49,9 @@
     """Return the token in `data` or raise `AuthenticationError`."""
     body = data[SIGNATURE_BYTES:]
     keys.verify(data[:SIGNATURE_BYTES], body)
-    try:
-        return _decoder.decode(body)
-    except msgspec.DecodeError as error:
-        raise AuthenticationError(
-            "route token is malformed; run the same release on every node"
-        ) from error
+    return decode_value(
+        _decoder,
+        body,
+        AuthenticationError,
+        "route token is malformed; run the same release on every node",
+    )
--- a/src/berylturn/platform/documents.py
+++ b/src/berylturn/platform/documents.py
@@ -10,13 +10,22 @@
 from msgspec import Meta
 
 from ..connection.opening_gate import BackendReport
+from ..decoding import decode_pruned, decode_value, is_host_port
 from ..errors import PlatformError
 from ..version.routes import Route, RouteTable, ServiceLimits, ServiceShare
 
+# Largest integer that each JSON reader represents exactly; times of day in
+# milliseconds and sequence numbers are far below.
+MAX_EXACT_INTEGER = 2**53 - 1
+MAX_SLOTS = 10_000
+MAX_COLD_MILLISECONDS = 3_600_000
+MAX_WEIGHT = 1_000_000
+MAX_PRIORITY = 1_000
+
 
 class _WeightedService(msgspec.Struct):
     service: str
-    weight: float = 1.0
+    weight: Annotated[float, Meta(ge=0, le=MAX_WEIGHT)] = 1.0
 
 
 class _Route(msgspec.Struct):
@@ -24,20 +33,20 @@
     host: str
     # Despite its name, the port number between slashes.
     path_prefix: str
-    priority: int = 0
+    priority: Annotated[int, Meta(ge=0, le=MAX_PRIORITY)] = 0
     service: str | None = None
     weighted_services: list[_WeightedService] | None = None
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_connections: int = 2000
-    cold_start_s: float = 0.0
-    cold_per_s: float = 0.0
+    max_connections: Annotated[int, Meta(ge=0)] = 2000
+    cold_start_s: Annotated[float, Meta(ge=0, le=MAX_COLD_MILLISECONDS / 1000)] = 0.0
+    cold_per_s: Annotated[float, Meta(ge=0, le=MAX_WEIGHT)] = 0.0
 
 
 class _ConfigLimits(msgspec.Struct):
-    idle_timeout_ms: int = 15_000
+    idle_timeout_ms: Annotated[int, Meta(ge=0, le=MAX_EXACT_INTEGER)] = 15_000
 
 
 class _Configuration(msgspec.Struct):
@@ -48,14 +57,18 @@
 
 
 class _Heartbeat(msgspec.Struct):
-    service: str
+    service: Annotated[str, Meta(min_length=1)]
     address: str
     zone: str
-    slots: Annotated[int, Meta(ge=1)]
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
-    cold_remaining_ms: float
-    sequence: int
-    born: int
+    cold_remaining_ms: Annotated[float, Meta(ge=0, le=MAX_COLD_MILLISECONDS)]
+    sequence: Annotated[int, Meta(ge=0, le=MAX_EXACT_INTEGER)]
+    born: Annotated[int, Meta(ge=0, le=MAX_EXACT_INTEGER)]
+
+    def __post_init__(self) -> None:
+        if not is_host_port(self.address):
+            raise ValueError(f"address {self.address!r} is not an IP address and port")
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -65,21 +78,22 @@
 
 def decode_configuration(body: bytes) -> tuple[RouteTable, list[str]]:
     """Return the route table of a configuration and the errors in unusable routes."""
-    try:
-        configuration = _configuration_decoder.decode(body)
-    except msgspec.DecodeError as error:
-        raise PlatformError(
-            f"configuration is unreadable; correct the object: {error}"
-        ) from error
+    configuration = decode_pruned(
+        _configuration_decoder,
+        body,
+        PlatformError,
+        "configuration is unreadable; correct the object",
+    )
     routes: dict[bytes, Route] = {}
     problems: list[str] = []
     for raw_route in configuration.routes:
         try:
-            route = _route_decoder.decode(raw_route)
+            message = "correct the route"
+            route = decode_value(_route_decoder, raw_route, PlatformError, message)
             routes[_pack_address(route)] = Route(
                 route.name, _list_shares(route), route.priority
             )
-        except (msgspec.DecodeError, OSError, ValueError, struct.error) as error:
+        except (PlatformError, OSError, ValueError, struct.error) as error:
             problems.append(f"route {bytes(raw_route)[:80]!r}: {error}")
     services = {
         service.name: ServiceLimits(
@@ -93,12 +107,12 @@
 
 def decode_heartbeat(identifier: str, body: bytes) -> BackendReport:
     """Return the report in a heartbeat or raise `PlatformError`."""
-    try:
-        heartbeat = _heartbeat_decoder.decode(body)
-    except msgspec.DecodeError as error:
-        raise PlatformError(
-            f"heartbeat is unreadable; correct the backend server: {error}"
-        ) from error
+    heartbeat = decode_value(
+        _heartbeat_decoder,
+        body,
+        PlatformError,
+        "heartbeat is unreadable; correct the backend server",
+    )
     return BackendReport(
         identifier=identifier,
         started_ms=heartbeat.born,
@@ -114,6 +128,8 @@
 
 def _pack_address(route: _Route) -> bytes:
     port = int(route.path_prefix.strip("/"))
+    if port == 0:
+        raise ValueError("port 0 cannot receive packets; choose 1 to 65535")
     return socket.inet_aton(route.host) + struct.pack(">H", port)
 
 
--- a/src/berylturn/platform/objects.py
+++ b/src/berylturn/platform/objects.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
 
+from ..decoding import Decoder, decode_pruned, decode_value
 from ..errors import (
     ObjectNotFound,
     PlatformError,
@@ -14,9 +17,14 @@
     WatchExpired,
 )
 from ..process.http_client import HttpConnection, HttpResponse
+from ..process.logs import log_warning
 from ..process.object_view import Kind
 from ..version.snapshots import ObjectChange, StoredObject
 
+Value = TypeVar("Value")
+
+# Characters of an unreadable object that are logged; its name comes first.
+LOGGED_BYTES = 120
 # The platform replies within milliseconds, or within seconds while it is impaired.
 CALL_SECONDS = 3.0
 # One second less than the longest watch that the platform allows, 30 s. Keep-alive
@@ -46,22 +54,53 @@
     removed: bool = False
 
 
+# Items stay encoded at first, so that one that cannot be read does not hide the others.
 class _Listing(msgspec.Struct):
-    items: list[_Object]
+    items: list[msgspec.Raw]
     at_revision: int
     more: bool = False
 
 
 class _Events(msgspec.Struct):
-    events: list[_Event]
+    events: list[msgspec.Raw]
     at_revision: int
 
 
+class _NamedMeta(msgspec.Struct):
+    name: str = ""
+
+
+class _NamedObject(msgspec.Struct):
+    meta: _NamedMeta = msgspec.field(default_factory=_NamedMeta)
+
+
 _listing_decoder = msgspec.json.Decoder(_Listing)
 _events_decoder = msgspec.json.Decoder(_Events)
+_object_decoder = msgspec.json.Decoder(_Object)
+_event_decoder = msgspec.json.Decoder(_Event)
+_named_decoder = msgspec.json.Decoder(_NamedObject)
 _encode = msgspec.json.encode
 
 
+@dataclass(frozen=True, slots=True)
+class ListPage:
+    """One page of a list.
+
+    Attributes
+    ----------
+    at_revision : int
+        Revision of the platform when it listed the page.
+    objects : list of StoredObject
+        Readable objects.
+    last : str
+        Name after which the next page starts; empty if this is the last page.
+    """
+
+    at_revision: int
+    objects: list[StoredObject]
+    last: str
+
+
 class ObjectClient:
     """Call the object API, with one connection for each kind and one for writes.
 
@@ -82,17 +121,17 @@
         query = ""
         while True:
             response = await self._read(kind, query, CALL_SECONDS)
-            page = _decode(_listing_decoder, response)
-            objects += map(_to_stored_object, page.items)
+            page = decode_listing(response.body)
+            objects += page.objects
             # Pages can have different revisions. The lowest is returned, so that a
             # watch from it repeats the changes made between two pages.
             page_revision = page.at_revision
             revision = (
                 page_revision if revision is None else min(revision, page_revision)
             )
-            if not page.more or not page.items:
+            if not page.last:
                 return revision, objects
-            query = f"?after={quote(page.items[-1].meta.name, safe='')}"
+            query = f"?after={quote(page.last, safe='')}"
 
     async def watch_objects(
         self, kind: Kind, revision: int
@@ -100,11 +139,7 @@
         """Wait for changes after a revision; raise `WatchExpired` if it is too old."""
         query = f"?watch={revision}&wait_ms={WATCH_MILLISECONDS}"
         response = await self._read(kind, query, WATCH_SECONDS)
-        batch = _decode(_events_decoder, response)
-        return batch.at_revision, [
-            ObjectChange(_to_stored_object(event.object), event.removed)
-            for event in batch.events
-        ]
+        return decode_events(response.body)
 
     async def put_object(
         self, kind: Kind, name: str, body: bytes, exists: bool
@@ -168,13 +203,57 @@
     )
 
 
-def _decode(decoder: msgspec.json.Decoder, response: HttpResponse):
-    try:
-        return decoder.decode(response.body)
-    except msgspec.DecodeError as error:
-        raise PlatformError(
-            f"the platform's reply is unreadable; check its version: {error}"
-        ) from error
+def decode_listing(body: bytes) -> ListPage:
+    """Return one page of a list without its unreadable objects.
+
+    Raises `PlatformError` if the page itself is unreadable.
+    """
+    page = _decode_reply(_listing_decoder, body)
+    objects = [
+        _to_stored_object(item) for item in _decode_items(_object_decoder, page.items)
+    ]
+    last = ""
+    if page.more and page.items:
+        last = _decode_reply(_named_decoder, page.items[-1]).meta.name
+    return ListPage(page.at_revision, objects, last)
+
+
+def decode_events(body: bytes) -> tuple[int, list[ObjectChange]]:
+    """Return the revision and the readable changes of a watch.
+
+    Raises `PlatformError` if the reply itself is unreadable.
+    """
+    batch = _decode_reply(_events_decoder, body)
+    return batch.at_revision, [
+        ObjectChange(_to_stored_object(event.object), event.removed)
+        for event in _decode_items(_event_decoder, batch.events)
+    ]
+
+
+def _decode_reply(decoder: Decoder[Value], body: bytes) -> Value:
+    return decode_pruned(
+        decoder,
+        body,
+        PlatformError,
+        "the platform's reply is unreadable; check its version",
+    )
+
+
+def _decode_items(decoder: Decoder[Value], items: list[msgspec.Raw]) -> list[Value]:
+    """Return the readable items; log the others."""
+    readable = []
+    for item in items:
+        try:
+            readable.append(
+                decode_value(decoder, item, PlatformError, "correct the object")
+            )
+        except PlatformError as error:
+            log_warning(
+                "object_unreadable",
+                start=bytes(item)[:LOGGED_BYTES].decode(errors="replace"),
+                error=str(error),
+            )
+    return readable
 
 
 def _to_stored_object(item: _Object) -> StoredObject:
--- a/src/berylturn/process/agent.py
+++ b/src/berylturn/process/agent.py
@@ -110,8 +110,6 @@
         await self._backend.close()
         self._platform.close()
         self._logs.flush()
-        if self._tasks.failure is not None:
-            raise self._tasks.failure
 
     def _new_rules(self, incarnation: int) -> AgentRules:
         settings = self._settings
@@ -171,12 +169,12 @@
             self._send_frame(source, ToCaller(frame.caller, packet))
 
     def _start_tasks(self) -> None:
-        self._tasks.start(self._logs.run(), "logs")
-        self._tasks.start(self._metrics.run(), "metrics")
-        self._tasks.start(self._tick_forever(), "tick")
-        self._tasks.start(self._send_digests(), "digests")
-        self._tasks.start(self._backend.watch_restarts(), "sentinel")
-        self._tasks.start(self._close_idle_connections(), "idle")
+        self._tasks.start(self._logs.run, "logs")
+        self._tasks.start(self._metrics.run, "metrics")
+        self._tasks.start(self._tick_forever, "tick")
+        self._tasks.start(self._send_digests, "digests")
+        self._tasks.start(self._backend.watch_restarts, "sentinel")
+        self._tasks.start(self._close_idle_connections, "idle")
 
     def _on_datagram(self, data: bytes, source: Address) -> None:
         try:
--- a/src/berylturn/process/agent_entries.py
+++ b/src/berylturn/process/agent_entries.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import random
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
+from ..decoding import decode_value, is_host_address
 from ..errors import PlatformError, VersionConflict
 from ..version.owners import AgentEntry
-from ..version.snapshots import KindSnapshot
+from ..version.snapshots import KindSnapshot, StoredObject
 from .logs import log_event, log_warning
 from .object_view import Kind, ObjectStore, ObjectView
 
@@ -18,21 +21,43 @@
 INITIAL_BACKOFF_SECONDS = 0.2
 MAX_BACKOFF_SECONDS = 1.0
 
-_decoder = msgspec.json.Decoder(AgentEntry)
+# Bounds of the weight of an entry; agents write the number of slots.
+MIN_WEIGHT = 0.001
+MAX_WEIGHT = 1_000_000.0
 
 
-def read_entries(snapshot: KindSnapshot) -> list[AgentEntry]:
-    """Return the entries in a snapshot; log and skip those that cannot be decoded."""
-    entries = []
-    for item in snapshot.objects.values():
-        try:
-            entry = _decoder.decode(item.body)
-        except msgspec.DecodeError as error:
-            log_warning("entry_unreadable", name=item.name, error=str(error))
-            continue
-        if entry.name == item.name:
-            entries.append(entry)
-    return entries
+class _StoredEntry(msgspec.Struct):
+    name: str
+    host: str
+    data_centre: str
+    service: str
+    weight: Annotated[float, Meta(ge=MIN_WEIGHT, le=MAX_WEIGHT)] = 1.0
+
+    def __post_init__(self) -> None:
+        if not is_host_address(self.host):
+            raise ValueError(f"host {self.host!r} is not the IP address of a host")
+
+
+_decoder = msgspec.json.Decoder(_StoredEntry)
+
+
+class EntryReader:
+    """Read the directory's entries; each version of an entry is decoded only once."""
+
+    def __init__(self) -> None:
+        self._read: dict[str, tuple[StoredObject, AgentEntry | None]] = {}
+
+    def read(self, snapshot: KindSnapshot) -> list[AgentEntry]:
+        """Return the usable entries of a snapshot; log each new unusable one."""
+        read = {}
+        for name, item in snapshot.objects.items():
+            known = self._read.get(name)
+            if known is not None and known[0] == item:
+                read[name] = known
+            else:
+                read[name] = (item, _read_entry(item))
+        self._read = read
+        return [entry for _, entry in read.values() if entry is not None]
 
 
 class EntryWriter:
@@ -133,8 +158,29 @@
         log_event("entry_removed", name=name, silent_seconds=round(silent_seconds, 3))
 
 
+def _read_entry(item: StoredObject) -> AgentEntry | None:
+    try:
+        entry = _decode_entry(item.body)
+        if entry.name != item.name:
+            raise PlatformError(f"entry names {entry.name!r}; use the object's name")
+    except PlatformError as error:
+        log_warning("entry_unreadable", name=item.name, error=str(error))
+        return None
+    return entry
+
+
+def _decode_entry(body: bytes) -> AgentEntry:
+    stored = decode_value(
+        _decoder, body, PlatformError, "entry of an agent is unusable; remove it"
+    )
+    return AgentEntry(
+        stored.name, stored.host, stored.data_centre, stored.service, stored.weight
+    )
+
+
 def _try_decode(body: bytes) -> AgentEntry | None:
+    """Return an entry, or None if it is unusable and so differs from any other."""
     try:
-        return _decoder.decode(body)
-    except msgspec.DecodeError:
+        return _decode_entry(body)
+    except PlatformError:
         return None
--- a/src/berylturn/process/balancer.py
+++ b/src/berylturn/process/balancer.py
@@ -110,8 +110,6 @@
         await self._tasks.cancel_all()
         self._platform.close()
         self._logs.flush()
-        if self._tasks.failure is not None:
-            raise self._tasks.failure
 
     async def _open_sockets(self) -> grpc.aio.Server:
         listen = self._settings.listen
@@ -128,13 +126,13 @@
         return await start_control(listen.control, handlers, self._settings.tls)
 
     def _start_tasks(self) -> None:
-        self._tasks.start(self._logs.run(), "logs")
-        self._tasks.start(self._metrics.run(), "metrics")
-        self._tasks.start(self._watch_platform(), "watch")
-        self._tasks.start(self._keep_directory(), "directory")
-        self._tasks.start(self._join_peers(), "join")
-        self._tasks.start(self._tick_forever(), "tick")
-        self._tasks.start(self._announce_to_fabric(), "fabric")
+        self._tasks.start(self._logs.run, "logs")
+        self._tasks.start(self._metrics.run, "metrics")
+        self._tasks.start(self._watch_platform, "watch")
+        self._tasks.start(self._keep_directory, "directory")
+        self._tasks.start(self._join_peers, "join")
+        self._tasks.start(self._tick_forever, "tick")
+        self._tasks.start(self._announce_to_fabric, "fabric")
 
     def _on_caller_packet(self, data: bytes, caller: Address) -> None:
         route = route_packet(data, self._view, self._keys)
--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from ..decoding import decode_value
+from ..errors import PlatformError
 from ..version.snapshots import KindSnapshot, ObjectChange, StoredObject
 
 VIEW_PATH = "/view"
@@ -125,8 +127,14 @@
         return f"{VIEW_PATH}?known={'.'.join(map(str, self.digests))}"
 
     def merge(self, data: bytes) -> None:
-        """Merge the snapshots that a peer exported; may raise `msgspec.DecodeError`."""
-        for kind, shared in _share_decoder.decode(data).items():
+        """Merge the snapshots that a peer exported or raise `PlatformError`."""
+        exported = decode_value(
+            _share_decoder,
+            data,
+            PlatformError,
+            "copy of a peer is unreadable; run the same release on every node",
+        )
+        for kind, shared in exported.items():
             if shared.objects is None:
                 self.snapshots[kind].confirm(
                     shared.at_revision, shared.newest, shared.digest
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -110,9 +110,9 @@
             heartbeats,
             readiness,
         )
-        node.tasks.start(self._entry_writer.run(), "entry")
-        node.tasks.start(self._run_reports(), "report")
-        node.tasks.start(self._run_sweeps(), "sweep")
+        node.tasks.start(self._entry_writer.run, "entry")
+        node.tasks.start(self._run_reports, "report")
+        node.tasks.start(self._run_sweeps, "sweep")
         await node.tasks.stop_requested.wait()
         await self._stop()
 
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -80,7 +80,7 @@
             heartbeats,
             readiness,
         )
-        node.tasks.start(self._run_probes(), "probe")
+        node.tasks.start(self._run_probes, "probe")
         await node.tasks.stop_requested.wait()
         self._stopping = True
         log_event("stopping", hints=self._router.hints)
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -22,7 +22,7 @@
 from ..errors import PacketError, PlatformError
 from ..version.owners import AgentEntry
 from ..version.routes import RouteTable
-from .agent_entries import read_entries
+from .agent_entries import EntryReader
 from .http_server import Handler, HttpReply, HttpRequest, serve_http
 from .logs import LogWriter, RateLimitedLog, log_event, log_warning
 from .metrics import Metrics
@@ -36,7 +36,7 @@
 from .settings import PassthroughAgentSettings, PassthroughBalancerSettings
 from .settings_file import SettingsFile
 from .sockets import Address, open_udp
-from .tasks import TaskGroup
+from .tasks import TaskGroup, log_callback_error
 from .view_relay import RelayPosition, ViewRelay, choose_relayed_kinds
 from .view_sync import ViewSync
 
@@ -102,6 +102,7 @@
         self._on_objects_changed: Callable[[Kind], None] = lambda kind: None
         self._caller_transport: asyncio.DatagramTransport | None = None
         self._peer_transport: asyncio.DatagramTransport | None = None
+        self._entry_reader = EntryReader()
         self._relayed_kinds = choose_relayed_kinds(settings)
         self.sync = ViewSync(
             self.view,
@@ -160,6 +161,7 @@
     ) -> None:
         """Open the sockets, start the tasks and start to watch the platform."""
         addresses = self.settings.passthrough
+        asyncio.get_running_loop().set_exception_handler(log_callback_error)
         self._on_objects_changed = on_objects_changed
         self._caller_transport = await open_udp(
             addresses.packets, on_caller, self._early_socket
@@ -172,16 +174,16 @@
         await serve_http((self.bind_host, addresses.peer_port), self._serve_peer)
         if self.settings.metrics.listen is not None:
             await serve_http(self.settings.metrics.listen, self._serve_metrics)
-        self.tasks.start(self.logs.run(), "logs")
-        self.tasks.start(self._run_ticks(), "seconds")
+        self.tasks.start(self.logs.run, "logs")
+        self.tasks.start(self._run_ticks, "seconds")
         if self.settings.metrics.statsd is not None:
-            self.tasks.start(self.metrics.run(), "metrics")
+            self.tasks.start(self.metrics.run, "metrics")
         self.tasks.stop_on_signals()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.sync.start()
         if self._relayed_kinds:
-            self.tasks.start(self.relay.run(), "relay")
+            self.tasks.start(self.relay.run, "relay")
         log_event(
             "started",
             after_seconds=round(self.now() - self.started, 3),
@@ -191,7 +193,7 @@
 
     def read_agent_entries(self) -> list[AgentEntry]:
         """Return the directory's entries and pass them to the relay if there is one."""
-        entries = read_entries(self.view.snapshots[Kind.AGENTS])
+        entries = self._entry_reader.read(self.view.snapshots[Kind.AGENTS])
         if self._relayed_kinds:
             self.relay.set_agents(entries)
         return entries
@@ -207,9 +209,11 @@
 
     def send(self, host: str, frame: PeerFrame) -> None:
         """Send a frame to another node."""
-        self._peer_transport.sendto(
-            encode_frame(frame), (host, self.settings.passthrough.peer_port)
-        )
+        port = self.settings.passthrough.peer_port
+        try:
+            self._peer_transport.sendto(encode_frame(frame), (host, port))
+        except (OSError, ValueError) as error:
+            self.record_drop("peer_address", error)
 
     def record_drop(self, reason: str, error: Exception) -> None:
         """Count and log a datagram that was dropped because it cannot be decoded."""
@@ -221,8 +225,6 @@
         log_event("stopped")
         await self.tasks.cancel_all()
         self.logs.flush()
-        if self.tasks.failure is not None:
-            raise self.tasks.failure
 
     def _make_frame_receiver(
         self, on_frame: Callable[[str, PeerFrame], None]
@@ -320,6 +322,7 @@
         while True:
             await asyncio.sleep(TICK_SECONDS)
             self.event_log.start_second()
+            self.metrics.gauge("task_failures", self.tasks.failures)
             if self._file.has_changed():
                 self._reload()
 
--- a/src/berylturn/process/view_sync.py
+++ b/src/berylturn/process/view_sync.py
@@ -5,12 +5,11 @@
 import asyncio
 import random
 from collections.abc import Callable, Collection
-
-import msgspec
+from functools import partial
 
 from ..clock import Clock
 from ..connection.peer_frames import Probe, ViewStatus
-from ..errors import PlatformError, PlatformUnavailable, WatchExpired
+from ..errors import PlatformError, WatchExpired
 from ..version.agent_directory import DirectoryTrust
 from .http_client import HttpConnection
 from .logs import log_event, log_warning
@@ -153,8 +152,8 @@
     def start(self) -> None:
         """Start the background tasks."""
         for kind in KINDS:
-            self._tasks.start(self._follow(kind), f"follow_{kind}")
-        self._tasks.start(self._poll_peers(), "ask_peers")
+            self._tasks.start(partial(self._follow, kind), f"follow_{kind}")
+        self._tasks.start(self._poll_peers, "ask_peers")
 
     def handle_peer_status(self, host: str, status: Probe | ViewStatus) -> None:
         """Compare this copy with that of a balancer or parent; pull if it may be newer.
@@ -211,6 +210,7 @@
         is_listed = False
         batch_delay = INITIAL_BATCH_DELAY_SECONDS
         was_relayed = False
+        self._watched_kinds.discard(kind)
         await self._wait_for_peer_copy(kind)
         while True:
             try:
@@ -368,7 +368,7 @@
                 self._apply_pending_status()
                 if self._view.newest != previous_newest:
                     log_event("view_pulled", peer=host, newest=self._view.newest)
-        except (PlatformUnavailable, msgspec.DecodeError) as error:
+        except PlatformError as error:
             log_event("peer_not_reached", peer=host, error=str(error))
         finally:
             connection.close()
--- a/src/berylturn/version/selectors.py
+++ b/src/berylturn/version/selectors.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..decoding import decode_value
 from ..domain import limits_from_labels
 from ..errors import SelectorError
 
@@ -75,6 +76,10 @@
     labels: dict[str, str] = {}
 
 
+_selector_decoder = msgspec.json.Decoder(SelectorBody)
+_label_decoder = msgspec.json.Decoder(LabelBody)
+
+
 def parse_expression(text: str) -> tuple[Term, ...]:
     """Parse a label expression such as ``app=booking,tier!=old,rack``."""
     return tuple(_parse_term(part.strip()) for part in text.split(","))
@@ -82,12 +87,12 @@
 
 def parse_selector(body: bytes) -> Selector:
     """Return the selector in a JSON body or raise `SelectorError`."""
-    try:
-        raw = msgspec.json.decode(body, type=SelectorBody)
-    except msgspec.DecodeError as error:
-        raise SelectorError(
-            f"selector is malformed; correct its JSON: {error}"
-        ) from error
+    raw = decode_value(
+        _selector_decoder,
+        body,
+        SelectorError,
+        "selector is malformed; correct its JSON",
+    )
     check_name(raw.service, "service")
     _check_address(raw.address)
     _check_shares(raw.shares)
@@ -96,12 +101,9 @@
 
 def parse_labels(body: bytes, states: tuple[str, ...]) -> dict[str, str]:
     """Return the labels in a JSON body or raise `SelectorError`."""
-    try:
-        labels = msgspec.json.decode(body, type=LabelBody).labels
-    except msgspec.DecodeError as error:
-        raise SelectorError(
-            f"labels are malformed; correct their JSON: {error}"
-        ) from error
+    labels = decode_value(
+        _label_decoder, body, SelectorError, "labels are malformed; correct their JSON"
+    ).labels
     for key in labels:
         check_name(key, "label key")
     state = labels.get("state")
--- a/src/berylturn_standins/objects.py
+++ b/src/berylturn_standins/objects.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
 from aiohttp import web
 
 # Small, so that short lists have several pages.
@@ -228,5 +227,6 @@
 
 
 def _json_response(body: Any, status: int = 200) -> web.Response:
-    dumps: Callable[[Any], str] = json.dumps
-    return web.json_response(body, status=status, dumps=dumps)
+    # msgspec also writes a `msgspec.Raw`, such as a text that is nested too deeply.
+    data = msgspec.json.encode(body)
+    return web.Response(body=data, status=status, content_type="application/json")
--- a/src/berylturn_standins/soak_plan.py
+++ b/src/berylturn_standins/soak_plan.py
@@ -43,13 +43,23 @@
     SERVER_DRAIN = "server_drain"
     CONFIGURE = "configure"
     EVACUATE = "evacuate"
+    ODD_ENTRIES = "odd_entries"
 
 
+# Faults that a seed draws; another writer leaves odd entries in each soak.
+DRAWN = tuple(fault for fault in Fault if fault is not Fault.ODD_ENTRIES)
 # Faults that disturb the service; the others are planned changes.
 UNPLANNED = frozenset(
     fault
     for fault in Fault
-    if fault not in (Fault.HANGUP, Fault.SERVER_DRAIN, Fault.CONFIGURE, Fault.EVACUATE)
+    if fault
+    not in (
+        Fault.HANGUP,
+        Fault.SERVER_DRAIN,
+        Fault.CONFIGURE,
+        Fault.EVACUATE,
+        Fault.ODD_ENTRIES,
+    )
 )
 
 
@@ -83,7 +93,7 @@
     schedule: list[ScheduledFault] = []
     starts_at = CALM_START_SECONDS
     # Few kinds in a run, so that each overlaps itself and the others more than once.
-    kinds = generator.sample(list(Fault), k=6)
+    kinds = generator.sample(DRAWN, k=6)
     while starts_at < seconds - LONGEST_FAULT_SECONDS:
         duration = generator.uniform(0.2, LONGEST_FAULT_SECONDS)
         fault = generator.choice(kinds)
@@ -93,4 +103,6 @@
             )
         )
         starts_at += generator.uniform(*GAP_SECONDS)
-    return schedule
+    odd_at = generator.uniform(0.0, seconds - LONGEST_FAULT_SECONDS)
+    schedule.append(ScheduledFault(odd_at, Fault.ODD_ENTRIES, 0.0, 0.0, 0.0))
+    return sorted(schedule, key=lambda scheduled: scheduled.starts_at)
--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -12,6 +12,7 @@
 from nose2.tools import params
 
 from berylturn.process.logs import FLUSH_SECONDS
+from berylturn_standins.odd_entries import read_odd_entries
 from berylturn_standins.opaque_deployment import SERVICE_ADDRESS, OpaqueDeployment
 
 BALANCERS = {"front-a": "dc-a", "front-b": "dc-b"}
@@ -297,6 +298,38 @@
                     lambda n=name: '"out":["dc-b","dc-c"]' in deployment.read_log(n)
                 )
 
+    @run_async
+    async def test_odd_entries_stop_no_daemon(self) -> None:
+        odd = read_odd_entries()
+        names = [*BALANCERS, *AGENTS]
+        async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
+            platform = deployment.platform
+            for entry, spec in odd.items():
+                await platform.put("berylturn-agents", entry, spec)
+            await platform.put("evacuations", "dc-x", odd["odd-deep"])
+            # One daemon of each role also reads the entries in lists at its start.
+            for name in ("front-b", "side-b1"):
+                await deployment.stop(name, signal.SIGKILL)
+                await deployment.start(name)
+            for name in names:
+                await deployment.wait_for_entry_count(name, len(AGENTS) + len(odd))
+            await platform.put("evacuations", "dc-y", {})
+            for name in names:
+                await deployment.wait_until(
+                    lambda n=name: '"out":["dc-x","dc-y"]' in deployment.read_log(n)
+                )
+            flows = await open_flows(deployment)
+            self.assertTrue(await all_answered(flows))
+            for name in names:
+                self.assertIsNone(deployment.processes[name].returncode)
+                log = deployment.read_log(name)
+                self.assertNotIn("task_failed", log)
+                self.assertNotIn("callback_failed", log)
+                for entry in odd:
+                    lines = log.count(f'"entry_unreadable","name":"{entry}"')
+                    # Once in each process that this name has had.
+                    self.assertIn(lines, (1, 2), f"{name}: {entry}")
+
     @run_async
     async def test_agents_watch_the_platform_when_all_seeds_are_lost(self) -> None:
         async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
