Admit what a server can process, queue by gain, and place by completion time

Change: WorkMeter gives service time, time to the first request and whether flows are short; the limit follows by Little's law. A busy agent passes an opening to the sibling that would complete it sooner, else queues it: those that can still be in time first, by priority and urgency. After 0.3 s of a queue that never empties, what cannot be in time is refused at once. Balancers and agents place short flows by estimated completion. Long flows keep their rule.

--- a/src/berylturn/connection/flow_table.py
+++ b/src/berylturn/connection/flow_table.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 from .segments import Segment
+from .work_meter import WorkMeter
 
 SEQUENCE_RANGE = 1 << 32
 # Bytes by which the acknowledgement of a caller may exceed the initial sequence number
@@ -23,6 +24,8 @@
 # on the users' sites; the rest allows for slow nodes. After this the caller has gone or
 # is idle.
 FIRST_REQUEST_TIMEOUT_SECONDS = 0.15
+# The same as a multiple of the mean time to the first request, once it is known.
+GAP_TIMEOUT_FACTOR = 4.0
 # Weight of the newest report period in the moving average of running requests.
 BUSY_SMOOTHING = 0.5
 
@@ -49,6 +52,10 @@
     last_packet : bytes
         Newest packet of the caller. Sent again after a restart of the backend server
         to find out whether it still holds the flow.
+    admitted_at : float or None
+        Time of admission; None if it was opened before this process started.
+    requests : int
+        Number of requests so far.
     """
 
     state: FlowState
@@ -59,6 +66,8 @@
     caller_closed: bool = False
     backend_closed: bool = False
     busy_since: float | None = None
+    admitted_at: float | None = None
+    requests: int = 0
 
     def owns(self, segment: Segment) -> bool:
         """Tell whether a caller's packet, not an opening, belongs to this flow.
@@ -83,6 +92,11 @@
         Called for each flow that is removed.
     observe : callable
         Called with each response time in seconds.
+
+    Attributes
+    ----------
+    meter : WorkMeter
+        Measures the server's work.
     """
 
     def __init__(
@@ -90,6 +104,7 @@
     ) -> None:
         self._on_drop = on_drop
         self._observe = observe
+        self.meter = WorkMeter()
         self._flows: dict[bytes, PassthroughFlow] = {}
         self._awaiting_request: dict[bytes, float] = {}
         self._running = 0
@@ -122,15 +137,18 @@
         if segment.flow in self._flows:
             self.drop(segment.flow)
         self._flows[segment.flow] = PassthroughFlow(
-            FlowState.HALF_OPEN, now, last_packet=segment.data
+            FlowState.HALF_OPEN, now, last_packet=segment.data, admitted_at=now
         )
         self._awaiting_request[segment.flow] = now
 
     def count_awaiting_request(self, now: float) -> int:
         """Return the number of new flows whose first request is expected soon."""
+        timeout = FIRST_REQUEST_TIMEOUT_SECONDS
+        if self.meter.gap_seconds:
+            timeout = min(timeout, GAP_TIMEOUT_FACTOR * self.meter.gap_seconds)
         while self._awaiting_request:
             key, admitted_at = next(iter(self._awaiting_request.items()))
-            if now - admitted_at <= FIRST_REQUEST_TIMEOUT_SECONDS:
+            if now - admitted_at <= timeout:
                 break
             del self._awaiting_request[key]
         return len(self._awaiting_request)
@@ -156,6 +174,9 @@
             flow.state = FlowState.OPEN
         if segment.size and flow.busy_since is None:
             flow.busy_since = now
+            flow.requests += 1
+            if flow.requests == 1 and flow.admitted_at is not None:
+                self.meter.record_first_request(now - flow.admitted_at)
             self._awaiting_request.pop(segment.flow, None)
             self._change_running(1, now)
         if segment.closing:
@@ -173,9 +194,12 @@
                 flow.first_sequence = segment.sequence
             return
         if segment.size:
-            if flow.busy_since is not None:
+            answered = flow.busy_since is not None
+            if answered:
                 self._observe(now - flow.busy_since)
             self._end_request(flow, now)
+            if answered:
+                self.meter.record_completion()
         if segment.closing:
             flow.backend_closed = True
         if segment.reset or (flow.caller_closed and flow.backend_closed):
@@ -212,6 +236,8 @@
     def _close(self, key: bytes, flow: PassthroughFlow, now: float) -> None:
         self._awaiting_request.pop(key, None)
         self._end_request(flow, now)
+        if flow.admitted_at is not None and flow.state is not FlowState.CLOSED:
+            self.meter.record_ended_flow(flow.requests)
         flow.state = FlowState.CLOSED
 
     def _end_request(self, flow: PassthroughFlow, now: float) -> None:
@@ -223,3 +249,4 @@
         self._request_seconds += self._running * (now - self._running_changed_at)
         self._running_changed_at = now
         self._running += change
+        self.meter.change_running(self._running, now)
--- a/src/berylturn/connection/load_board.py
+++ b/src/berylturn/connection/load_board.py
@@ -8,10 +8,15 @@
 servers in another data centre is needed there, so an opening waits in its own data
 centre. Otherwise its packets would cross between data centres for as long as the flow
 lasts.
+
+Load pattern: each request opens a flow and servers differ in speed. An average of the
+last second says nothing about a request of 15 ms, so an opening goes to the server that
+is estimated to complete it first.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
@@ -27,6 +32,12 @@
 # Estimated share of a slot that a new flow uses, until the next report includes it.
 BUSY_PER_OPENING = 0.15
 
+# Service time of a request that is assumed until it has been measured.
+DEFAULT_SERVICE_SECONDS = 0.03
+# Time by which a server in another data centre must be sooner to be chosen: the way
+# there and back, and its cost.
+REMOTE_SECONDS = 0.01
+
 
 @dataclass(slots=True)
 class _Peer:
@@ -134,6 +145,30 @@
         busy, slots = (report.busy, report.slots) if report is not None else (0.0, 1)
         return (busy + peer.openings_since_report * BUSY_PER_OPENING) / max(1, slots)
 
+    def has_short_flows(self, host: str, now: float) -> bool:
+        """Tell whether most flows of an agent's server have a single request."""
+        report = self.fresh_report(host, now)
+        return report is not None and report.short_flows
+
+    def completion_seconds(self, host: str, now: float) -> float:
+        """Return the estimated seconds until a new request would be processed.
+
+        The server is assumed to have worked off its backlog since the report, and to
+        have got the openings that this node has sent it meanwhile. A server of which
+        nothing is known counts as idle: it has lately started and gets the next
+        openings, which show its speed.
+        """
+        peer = self._peers.get(host, _Peer())
+        report = self.fresh_report(host, now)
+        service = DEFAULT_SERVICE_SECONDS
+        slots, backlog = 1, 0.0
+        if report is not None:
+            service = report.service_ms / 1000 or DEFAULT_SERVICE_SECONDS
+            slots = report.slots
+            worked_off = now - peer.reported_at
+            backlog = max(0.0, report.outstanding * service / slots - worked_off)
+        return backlog + peer.openings_since_report * service / slots + service
+
 
 def choose_for_opening(
     ranked: Iterable[AgentEntry],
@@ -173,6 +208,8 @@
     ]
     if not candidates:
         return None
+    if any(board.has_short_flows(agent.host, now) for agent in candidates):
+        return choose_soonest(candidates, data_centre, board, now) or candidates[0]
     pressures = {agent.host: board.pressure(agent.host, now) for agent in candidates}
     for agent in candidates:
         if agent.data_centre == data_centre and pressures[agent.host] < FULL_PRESSURE:
@@ -181,3 +218,35 @@
         if pressures[agent.host] < FULL_PRESSURE:
             return agent
     return min(candidates, key=lambda agent: pressures[agent.host])
+
+
+def choose_soonest(
+    candidates: Iterable[AgentEntry],
+    data_centre: str,
+    board: LoadBoard,
+    now: float,
+    before: float = math.inf,
+) -> AgentEntry | None:
+    """Return the agent whose server is estimated to complete a request first.
+
+    Parameters
+    ----------
+    candidates : iterable of AgentEntry
+        Agents in the order of the flow.
+    data_centre : str
+        Data centre where the flow entered.
+    board : LoadBoard
+        Load reports of the agents.
+    now : float
+        Seconds on the monotonic clock.
+    before : float
+        Seconds within which it must complete the request; else None is returned.
+    """
+    best, best_seconds = None, before
+    for agent in candidates:
+        seconds = board.completion_seconds(agent.host, now)
+        if agent.data_centre != data_centre:
+            seconds += REMOTE_SECONDS
+        if seconds < best_seconds:
+            best, best_seconds = agent, seconds
+    return best
--- a/src/berylturn/connection/opening_queue.py
+++ b/src/berylturn/connection/opening_queue.py
@@ -1,14 +1,18 @@
-"""Bounded priority queue of openings that wait for capacity.
+"""Bounded queue of openings that wait for capacity.
 
 Load pattern: all backend servers of a service restart at once and many callers reopen
 their flows. The limit of a cold server is used up at once, but its cold start ends
 before the attempts of the callers do. A queued opening is therefore served, where a
 refused one would use up its retries within milliseconds.
+
+Load pattern: each request opens a flow, and for a while more of them arrive than the
+servers can process. What waits at the agent can still be ordered and refused, unlike
+what waits in the server.
 """
 
 from __future__ import annotations
 
-import heapq
+import math
 from dataclasses import dataclass
 
 from .peer_frames import Forward
@@ -21,72 +25,113 @@
 # About what a server that admits 100 openings per second takes during one attempt.
 MAX_QUEUED = 150
 
+# A queue that has not been empty for longer is due to more work than the server can
+# process, and not to a burst (CoDel: Nichols and Jacobson, 2012).
+BURST_SECONDS = 0.3
+
 
 @dataclass(frozen=True, slots=True)
 class QueuedOpening:
-    """One queued opening with the frame that carried it."""
+    """One queued opening with the frame that carried it.
+
+    Attributes
+    ----------
+    priority : int
+        Priority of its route; 0 is the highest.
+    useful_until : float
+        Time until which its admission leads to an answer within the latency objective;
+        infinity if the route states none.
+    expires_at : float
+        Time from which an admission has no use for the caller.
+    """
 
     frame: Forward
     segment: Segment
     service: str
     arrived_at: float
-
-    @property
-    def expires_at(self) -> float:
-        """Return the time at which the caller's attempt ends."""
-        return self.arrived_at + remaining_attempt_seconds(self.segment)
+    priority: int = 0
+    useful_until: float = math.inf
+    expires_at: float = math.inf
 
 
 class OpeningQueue:
-    """Queue openings by priority, the newest first within a priority.
+    """Queue openings by what their callers gain.
 
-    Under load the newest can still be served in time, while the callers of the oldest
-    are about to give up (adaptive LIFO: Maurer, Fail at Scale, 2015).
+    Openings that can still be answered within their latency objective come first, by
+    priority and then by how soon they must be admitted. Of the others, and of those
+    without an objective, the newest of a priority comes first: the callers of the
+    oldest are about to give up (adaptive LIFO: Maurer, Fail at Scale, 2015).
     """
 
     def __init__(self) -> None:
-        self._heap: list[tuple[int, int, QueuedOpening]] = []
-        self._flows: set[bytes] = set()
-        self._arrivals = 0
+        self._openings: dict[bytes, QueuedOpening] = {}
+        self._waiting_since: float | None = None
 
     def __len__(self) -> int:
-        return len(self._heap)
+        return len(self._openings)
 
     def __contains__(self, flow: bytes) -> bool:
-        return flow in self._flows
-
-    @property
-    def next_service(self) -> str:
-        """Return the service of the next opening."""
-        return self._heap[0][2].service
-
-    @property
-    def is_full(self) -> bool:
-        """Tell whether the queue has reached its maximum length."""
-        return len(self._heap) >= MAX_QUEUED
-
-    def add(self, opening: QueuedOpening, priority: int) -> None:
-        """Add an opening; a lower priority number is served first."""
-        self._arrivals += 1
-        heapq.heappush(self._heap, (priority, -self._arrivals, opening))
-        self._flows.add(opening.segment.flow)
-
-    def pop(self) -> QueuedOpening:
-        """Remove and return the next opening."""
-        opening = heapq.heappop(self._heap)[2]
-        self._flows.discard(opening.segment.flow)
-        return opening
+        return flow in self._openings
+
+    def is_congested(self, now: float) -> bool:
+        """Tell whether openings have waited for so long that it is no mere burst."""
+        return (
+            self._waiting_since is not None
+            and now - self._waiting_since > BURST_SECONDS
+        )
+
+    def count_ahead(self, opening: QueuedOpening, now: float) -> int:
+        """Return how many queued openings would be admitted before another one."""
+        rank = _rank(opening, now)
+        return sum(_rank(item, now) < rank for item in self._openings.values())
+
+    def add(self, opening: QueuedOpening) -> None:
+        """Add an opening."""
+        if self._waiting_since is None:
+            self._waiting_since = opening.arrived_at
+        self._openings[opening.segment.flow] = opening
+
+    def peek(self, now: float) -> QueuedOpening:
+        """Return the next opening to be admitted."""
+        return min(self._openings.values(), key=lambda item: _rank(item, now))
+
+    def remove(self, opening: QueuedOpening) -> None:
+        """Remove an opening."""
+        del self._openings[opening.segment.flow]
+        if not self._openings:
+            self._waiting_since = None
+
+    def pop_late(self, now: float) -> list[QueuedOpening]:
+        """Remove and return the openings that can no longer be answered in time."""
+        late = [item for item in self._openings.values() if now > item.useful_until]
+        for opening in late:
+            self.remove(opening)
+        return late
+
+    def pop_excess(self, limit: int, now: float) -> list[QueuedOpening]:
+        """Remove and return the last ones in order beyond a number of openings."""
+        excess = len(self._openings) - min(limit, MAX_QUEUED)
+        if excess <= 0:
+            return []
+        ordered = sorted(self._openings.values(), key=lambda item: _rank(item, now))
+        for opening in ordered[-excess:]:
+            self.remove(opening)
+        return ordered[-excess:]
 
     def pop_expired(self, now: float) -> list[QueuedOpening]:
-        """Remove and return the openings whose callers' attempts have ended."""
-        expired = [entry for entry in self._heap if now > entry[2].expires_at]
-        if expired:
-            self._heap = [entry for entry in self._heap if entry not in expired]
-            heapq.heapify(self._heap)
-            self._flows -= {entry[2].segment.flow for entry in expired}
-        return [entry[2] for entry in expired]
+        """Remove and return the openings whose admission has no more use."""
+        expired = [item for item in self._openings.values() if now > item.expires_at]
+        for opening in expired:
+            self.remove(opening)
+        return expired
 
 
 def remaining_attempt_seconds(segment: Segment) -> float:
     """Return the seconds until an answer is too late for the caller of an opening."""
     return ATTEMPT_SECONDS - TRANSIT_SECONDS - segment.opening_age
+
+
+def _rank(opening: QueuedOpening, now: float) -> tuple[bool, int, float]:
+    in_time = math.isfinite(opening.useful_until) and now <= opening.useful_until
+    order = opening.useful_until if in_time else -opening.arrived_at
+    return not in_time, opening.priority, order
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -83,6 +83,11 @@
         """Return the number of requests in progress."""
         return self._state.flows.running
 
+    @property
+    def has_short_flows(self) -> bool:
+        """Tell whether most flows of the backend server have a single request."""
+        return self._state.flows.meter.has_short_flows
+
     @property
     def queued(self) -> int:
         """Return the number of queued openings."""
@@ -97,6 +102,10 @@
         """Set the newest revision of each kind of object, for load reports."""
         self._state.newest = newest
 
+    def set_slots(self, slots: int) -> None:
+        """Set the number of requests that the backend server processes concurrently."""
+        self._state.flows.meter.set_slots(slots)
+
     def stop(self, now: float) -> list[PassthroughEffect]:
         """Stop admitting openings and refuse the queued ones."""
         self._state.stopping = True
@@ -154,7 +163,7 @@
         else:
             self._state.flows.record_backend_packet(segment, flow, now)
         effects.append(ToCaller(caller_host(segment.flow), segment.data))
-        if self._state.queue and segment.size:
+        if self._state.queue and (segment.size or segment.closing):
             effects += self._openings.admit_queued(now)
         return effects
 
--- a/src/berylturn/connection/passthrough_openings.py
+++ b/src/berylturn/connection/passthrough_openings.py
@@ -3,9 +3,19 @@
 from __future__ import annotations
 
 from ..version.owners import AgentEntry, rank_agents
-from .load_board import choose_for_opening
+from .load_board import (
+    DEFAULT_SERVICE_SECONDS,
+    choose_for_opening,
+    choose_soonest,
+)
 from .offers import Offers
-from .opening_queue import QueuedOpening, remaining_attempt_seconds
+from .opening_queue import (
+    ATTEMPT_SECONDS,
+    MAX_QUEUED,
+    TRANSIT_SECONDS,
+    QueuedOpening,
+    remaining_attempt_seconds,
+)
 from .passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
 from .passthrough_state import PassthroughState
 from .peer_frames import Forward, Owned, next_forward
@@ -16,6 +26,14 @@
 MAX_OPENING_HOPS = 4
 # Requests per slot while openings are queued: one in progress and one waiting.
 REQUESTS_PER_SLOT = 2
+# Time by which a sibling must be sooner for a busy agent to pass an opening on: the way
+# there, and what its report may have missed.
+PASS_ON_SECONDS = 0.006
+# Margin for requests that take longer than the mean, as a multiple of the service time,
+# when an opening is refused because it is not expected to be answered in time.
+SPREAD_FACTOR = 2.0
+# Time for an answer from the backend server to its caller.
+RETURN_SECONDS = 0.01
 
 
 class OpeningHandler:
@@ -46,6 +64,8 @@
         reason = self._state.gate.refusal(service, now)
         if self._state.stopping and reason is None:
             reason = "stopping"
+        if reason is None and self._is_busy(now):
+            reason = "busy"
         if reason is not None:
             return self._forward_to_sibling(frame, segment, service, reason, now)
         return self._admit(frame, segment, now, now)
@@ -64,18 +84,21 @@
         effects: list[PassthroughEffect] = []
         for opening in self._queue.pop_expired(now):
             effects += self._refuse(opening.frame, opening.segment, "waited", now)
+        if self._is_overloaded(now):
+            for opening in self._queue.pop_late(now):
+                effects += self._refuse(opening.frame, opening.segment, "late", now)
         while self._queue and self._has_capacity_for_queued(now):
-            service = self._queue.next_service
-            reason = self._state.gate.refusal(service, now)
+            opening = self._queue.peek(now)
+            reason = self._state.gate.refusal(opening.service, now)
             if reason is None:
-                opening = self._queue.pop()
+                self._queue.remove(opening)
                 effects += self._admit(
                     opening.frame, opening.segment, now, opening.arrived_at
                 )
             elif self._state.gate.expected_wait(reason, 0, now) is None:
-                opening = self._queue.pop()
+                self._queue.remove(opening)
                 effects += self._forward_to_sibling(
-                    opening.frame, opening.segment, service, reason, now
+                    opening.frame, opening.segment, opening.service, reason, now
                 )
             else:
                 break
@@ -85,7 +108,8 @@
         """Refuse all queued openings, so that their callers retry elsewhere."""
         effects: list[PassthroughEffect] = []
         while self._queue:
-            opening = self._queue.pop()
+            opening = self._queue.peek(now)
+            self._queue.remove(opening)
             effects += self._refuse(opening.frame, opening.segment, "stopping", now)
         return effects
 
@@ -96,11 +120,46 @@
         admitted together, the server would shed requests.
         """
         report = self._state.gate.report
-        flows = self._state.flows
-        expected_requests = flows.running + flows.count_awaiting_request(now)
-        return (
-            report is not None and expected_requests < REQUESTS_PER_SLOT * report.slots
+        if report is None:
+            return False
+        meter = self._state.flows.meter
+        limit = (
+            meter.limit if meter.has_short_flows else REQUESTS_PER_SLOT * report.slots
         )
+        return self._state.expected_requests(now) < limit
+
+    def _is_busy(self, now: float) -> bool:
+        """Tell whether one more request would only wait in the server.
+
+        Long flows are not counted as work while they are idle, so this holds for
+        servers whose flows are requests.
+        """
+        meter = self._state.flows.meter
+        return meter.has_short_flows and (
+            bool(self._queue) or self._state.expected_requests(now) >= meter.limit
+        )
+
+    def _is_overloaded(self, now: float) -> bool:
+        """Tell whether what cannot be answered in time is refused at once.
+
+        In a burst it waits for the time when the server has capacity again. If more
+        work arrives than the server can process, there is no such time, and a caller
+        that is told late would only try again.
+        """
+        return self._state.flows.meter.has_short_flows and self._queue.is_congested(now)
+
+    def _service_seconds(self) -> float:
+        return self._state.flows.meter.service_seconds or DEFAULT_SERVICE_SECONDS
+
+    def _seconds_per_request(self) -> float:
+        report = self._state.gate.report
+        return self._service_seconds() / (report.slots if report is not None else 1)
+
+    def _expected_wait(self, reason: str, now: float) -> float | None:
+        """Return the seconds until an opening is admitted here, None if never."""
+        if reason == "busy":
+            return len(self._queue) * self._seconds_per_request()
+        return self._state.gate.expected_wait(reason, len(self._queue), now)
 
     def _admit(
         self, frame: Forward, segment: Segment, now: float, arrived_at: float
@@ -136,9 +195,12 @@
         now: float,
     ) -> list[PassthroughEffect]:
         is_cold = reason == "cold"
-        chosen = self._choose_sibling(frame, segment, service, not is_cold, now)
+        if reason == "busy":
+            chosen = self._choose_sooner_sibling(frame, segment, service, now)
+        else:
+            chosen = self._choose_sibling(frame, segment, service, not is_cold, now)
         if chosen is None:
-            wait = self._state.gate.expected_wait(reason, len(self._queue), now)
+            wait = self._expected_wait(reason, now)
             if wait is not None and wait <= remaining_attempt_seconds(segment):
                 return self._enqueue(frame, segment, service, reason, wait, now)
             if is_cold:
@@ -171,16 +233,42 @@
         visited = [*frame.visited, self._state.host]
         if len(visited) >= MAX_OPENING_HOPS:
             return None
+        ranked = self._rank_agents(frame, segment, service)
+        board = self._state.board
+        return choose_for_opening(
+            ranked, frame.data_centre, board, visited, now, allow_remote_cold
+        )
+
+    def _choose_sooner_sibling(
+        self, frame: Forward, segment: Segment, service: str, now: float
+    ) -> AgentEntry | None:
+        """Return a sibling that would complete an opening's request sooner, or None."""
+        visited = [*frame.visited, self._state.host]
+        if len(visited) >= MAX_OPENING_HOPS:
+            return None
+        board = self._state.board
+        candidates = [
+            agent
+            for agent in self._rank_agents(frame, segment, service)
+            if agent.host not in visited
+            and board.accepts(agent.host, now)
+            and not board.is_cold(agent.host, now)
+        ]
+        backlog = self._state.outstanding(now) * self._seconds_per_request()
+        own_seconds = backlog + self._service_seconds()
+        return choose_soonest(
+            candidates, frame.data_centre, board, now, own_seconds - PASS_ON_SECONDS
+        )
+
+    def _rank_agents(
+        self, frame: Forward, segment: Segment, service: str
+    ) -> list[AgentEntry]:
         agents = self._state.agents.get(service, ())
-        ranked = rank_agents(
+        return rank_agents(
             segment.flow,
             frame.data_centre,
             (a for a in agents if a.data_centre not in self._state.evacuated),
         )
-        board = self._state.board
-        return choose_for_opening(
-            ranked, frame.data_centre, board, visited, now, allow_remote_cold
-        )
 
     def _enqueue(
         self,
@@ -191,18 +279,54 @@
         expected: float,
         now: float,
     ) -> list[PassthroughEffect]:
-        if self._queue.is_full:
-            return self._refuse(frame, segment, reason, now)
+        opening = self._make_queued(frame, segment, service, now)
+        ahead = self._queue.count_ahead(opening, now)
+        if self._is_overloaded(now):
+            margin = SPREAD_FACTOR * self._service_seconds()
+            admitted_at = now + ahead * self._seconds_per_request()
+            if admitted_at + margin > opening.useful_until:
+                return self._refuse(frame, segment, "overloaded", now)
         self._state.log_decision(
             "flow_waits",
             segment.flow,
             reason=reason,
             expected=expected,
-            ahead=len(self._queue),
+            ahead=ahead,
+        )
+        effects: list[PassthroughEffect] = [
+            ToPeer(frame.origin, Owned(segment.flow, self._state.load_report(now)))
+        ]
+        self._queue.add(opening)
+        for excess in self._queue.pop_excess(self._queue_limit(reason), now):
+            effects += self._refuse(excess.frame, excess.segment, "queue_full", now)
+        return effects
+
+    def _queue_limit(self, reason: str) -> int:
+        """Return how many openings can be admitted within their callers' attempts."""
+        if reason != "busy":
+            return MAX_QUEUED
+        return int((ATTEMPT_SECONDS - TRANSIT_SECONDS) / self._seconds_per_request())
+
+    def _make_queued(
+        self, frame: Forward, segment: Segment, service: str, now: float
+    ) -> QueuedOpening:
+        route = self._state.table.route_of(segment.flow)
+        meter = self._state.flows.meter
+        first_sent_at = now - segment.opening_age
+        # After the admission, the request arrives, waits for those before it in the
+        # server and is processed.
+        ahead = (meter.limit - 1) * self._seconds_per_request()
+        remaining = meter.gap_seconds + ahead + self._service_seconds() + RETURN_SECONDS
+        attempt_ends_at = now + remaining_attempt_seconds(segment)
+        return QueuedOpening(
+            frame,
+            segment,
+            service,
+            now,
+            route.priority,
+            first_sent_at + route.aim_seconds - remaining,
+            min(attempt_ends_at, first_sent_at + route.timeout_seconds - remaining),
         )
-        opening = QueuedOpening(frame, segment, service, now)
-        self._queue.add(opening, self._state.table.priority_of(segment.flow))
-        return []
 
     def _refuse(
         self, frame: Forward, segment: Segment, reason: str, now: float
--- a/src/berylturn/connection/passthrough_state.py
+++ b/src/berylturn/connection/passthrough_state.py
@@ -71,6 +71,14 @@
             return frame.service or None
         return self.table.service_of(segment.flow)
 
+    def outstanding(self, now: float) -> int:
+        """Return the number of requests in progress, expected or queued here."""
+        return self.expected_requests(now) + len(self.queue)
+
+    def expected_requests(self, now: float) -> int:
+        """Return the number of requests in progress, and expected on new flows."""
+        return self.flows.running + self.flows.count_awaiting_request(now)
+
     def load_report(self, now: float) -> LoadReport:
         """Return the load report for siblings and balancers."""
         report = self.gate.report
@@ -85,4 +93,7 @@
             stopping=self.stopping,
             cold=self.gate.is_cold(now),
             backend_left=self.gate.has_left,
+            outstanding=self.outstanding(now),
+            service_ms=1000 * (self.flows.meter.service_seconds or 0.0),
+            short_flows=self.flows.meter.has_short_flows,
         )
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -42,6 +42,13 @@
         Whether the server is in cold start.
     backend_left : bool
         Whether the server has deregistered, so that all its flows have ended.
+    outstanding : int
+        Number of requests in progress, expected on new flows, and queued at the agent.
+    service_ms : float
+        Mean milliseconds for which a request occupies a slot; 0 if unknown.
+    short_flows : bool
+        Whether most flows end after a single request, so that each opening is a
+        request.
     """
 
     accepting: bool
@@ -53,6 +60,9 @@
     stopping: bool = False
     cold: bool = False
     backend_left: bool = False
+    outstanding: Annotated[int, Meta(ge=0, le=MAX_REQUESTS)] = 0
+    service_ms: Annotated[float, Meta(ge=0)] = 0.0
+    short_flows: bool = False
 
 
 class Forward(msgspec.Struct, array_like=True, tag=1):
--- a/src/berylturn/platform/documents.py
+++ b/src/berylturn/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 import struct
 from typing import Annotated, Literal
@@ -34,6 +35,8 @@
     # Despite its name, the port number between slashes.
     path_prefix: str
     priority: Annotated[int, Meta(ge=0, le=MAX_PRIORITY)] = 0
+    aim_ms: Annotated[float, Meta(gt=0, le=MAX_EXACT_INTEGER)] | None = None
+    timeout_ms: Annotated[float, Meta(gt=0, le=MAX_EXACT_INTEGER)] | None = None
     service: str | None = None
     weighted_services: list[_WeightedService] | None = None
 
@@ -64,7 +67,8 @@
     state: Literal["ready", "draining"]
     cold_remaining_ms: Annotated[float, Meta(ge=0, le=MAX_COLD_MILLISECONDS)]
     sequence: Annotated[int, Meta(ge=0, le=MAX_EXACT_INTEGER)]
-    born: Annotated[int, Meta(ge=0, le=MAX_EXACT_INTEGER)]
+    # Negative on a host whose clock is set to a time before 1970.
+    born: Annotated[int, Meta(ge=-MAX_EXACT_INTEGER, le=MAX_EXACT_INTEGER)]
 
     def __post_init__(self) -> None:
         if not is_host_port(self.address):
@@ -91,7 +95,11 @@
             message = "correct the route"
             route = decode_value(_route_decoder, raw_route, PlatformError, message)
             routes[_pack_address(route)] = Route(
-                route.name, _list_shares(route), route.priority
+                route.name,
+                _list_shares(route),
+                route.priority,
+                _to_seconds(route.aim_ms),
+                _to_seconds(route.timeout_ms),
             )
         except (PlatformError, OSError, ValueError, struct.error) as error:
             problems.append(f"route {bytes(raw_route)[:80]!r}: {error}")
@@ -133,6 +141,11 @@
     return socket.inet_aton(route.host) + struct.pack(">H", port)
 
 
+def _to_seconds(milliseconds: float | None) -> float:
+    """Return a duration in seconds; infinity if the route states none."""
+    return math.inf if milliseconds is None else milliseconds / 1000
+
+
 def _list_shares(route: _Route) -> tuple[ServiceShare, ...]:
     if route.weighted_services:
         return tuple(
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -40,6 +40,8 @@
 # Registrations and inquiries are batched, so that a burst of new flows takes one frame.
 BATCH_SECONDS = 0.02
 SWEEP_SECONDS = 1.0
+# Minimum interval of the load reports to siblings while each opening is a request.
+SIBLING_REPORT_SECONDS = 0.1
 # Interval between checks of the queued openings.
 QUEUE_CHECK_SECONDS = 0.03
 # Maximum number of balancers that get load reports: those whose frames are newest.
@@ -82,6 +84,7 @@
         self._siblings: list[AgentEntry] = []
         self._last_sent_accepting: bool | None = None
         self._batch_scheduled = False
+        self._sibling_report_scheduled = False
         self._queue_timer: asyncio.TimerHandle | None = None
 
     async def run(self, heartbeats: Handler, readiness: Handler) -> None:
@@ -174,6 +177,7 @@
             report.service,
             float(report.slots),
         )
+        self._agent.set_slots(report.slots)
         self._entry_writer.set_entry(entry)
         self._refresh_directory()
 
@@ -258,6 +262,10 @@
         if self._agent.queued and self._queue_timer is None:
             loop = asyncio.get_running_loop()
             self._queue_timer = loop.call_later(QUEUE_CHECK_SECONDS, self._admit_queued)
+        if self._agent.has_short_flows and not self._sibling_report_scheduled:
+            self._sibling_report_scheduled = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(SIBLING_REPORT_SECONDS, self._report_to_siblings)
         if not self._batch_scheduled:
             self._batch_scheduled = True
             asyncio.get_running_loop().call_later(BATCH_SECONDS, self._send_batch)
@@ -267,6 +275,16 @@
         self._send_effects(self._agent.admit_queued(self._node.now()))
         self._send_load_if_changed()
 
+    def _report_to_siblings(self) -> None:
+        """Send siblings the load while each opening is a request.
+
+        They pass on what they cannot process, and a request lasts only milliseconds.
+        """
+        self._sibling_report_scheduled = False
+        frame = Load(self._agent.load_report(self._node.now()))
+        for sibling in self._siblings:
+            self._node.send(sibling.host, frame)
+
     def _send_batch(self) -> None:
         self._batch_scheduled = False
         self._node.send_effects(self._agent.pop_queued_frames())
--- a/src/berylturn/version/routes.py
+++ b/src/berylturn/version/routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 
@@ -9,7 +10,6 @@
 SHARE_HASH_RANGE = 1 << (8 * SHARE_HASH_BYTES)
 # Services of earlier routes kept per address; open flows may still belong to them.
 MAX_FORMER_SERVICES = 4
-UNKNOWN_ROUTE_PRIORITY = 100
 # A flow's key starts with the caller's packed address and port, then the service's.
 SERVICE_ADDRESS_OFFSET = 6
 
@@ -24,11 +24,27 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Services behind one address of the platform; priority 0 is the highest."""
+    """Services behind one address of the platform, and its requests.
+
+    Attributes
+    ----------
+    priority : int
+        Priority of the requests; 0 is the highest.
+    aim_seconds : float
+        Latency objective of a request.
+    timeout_seconds : float
+        Time after which an answer has no use.
+    """
 
     name: str
     shares: tuple[ServiceShare, ...]
     priority: int = 0
+    aim_seconds: float = math.inf
+    timeout_seconds: float = math.inf
+
+
+# Its priority is below that of any route in use.
+UNKNOWN_ROUTE = Route("", (), priority=100)
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,10 +95,9 @@
                 former[address] = tuple(former_names)[:MAX_FORMER_SERVICES]
         return replace(self, former=former)
 
-    def priority_of(self, flow: bytes) -> int:
-        """Return the priority of a flow's route, the lowest one without a route."""
-        route = self.routes.get(service_address(flow))
-        return UNKNOWN_ROUTE_PRIORITY if route is None else route.priority
+    def route_of(self, flow: bytes) -> Route:
+        """Return a flow's route, or one with the lowest priority if it has none."""
+        return self.routes.get(service_address(flow), UNKNOWN_ROUTE)
 
     def possible_services(self, flow: bytes) -> list[str]:
         """Return the services an open flow may belong to, the most likely first."""
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -210,6 +210,7 @@
             "cold_seconds": 0.0,
         }
         values.update(changes)
+        self.agents[name].set_slots(values["slots"])
         restarted = self.gates[name].record_report(BackendReport(**values), self.now)
         if restarted:
             self._run_effects(name, self.agents[name].on_backend_restarted())
