Copy changes alone between nodes, and keep load reports in their data centre

The bytes came with the release of servers: each change of the directory made 190 nodes copy all 136 entries, mostly from seeds far away. Calls to the platform: each of 56 balancers watched two kinds on its own, and a watch of 29 s outlived the history of 20 s, so that each was followed by a 410 and a list. Ruled out: registrations of flows far away (0.6 MB). Change: a node states its revisions and gets the changes since, with the removals that each copy now records; a checksum that does not match afterwards leads to a full copy; copies are compressed, and equal requests answered by one encoding. Balancers follow all kinds through seeds and agents, as agents do. Watches last 18 s. Load reports leave the data centre at changes of state and to four siblings only; registrations far away are batched for a second. A connection to the platform on which bytes arrive that no request waits for is closed.

--- a/src/berylturn/connection/flow_locations.py
+++ b/src/berylturn/connection/flow_locations.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from ..version.owners import AgentEntry, find_primary_hosts
 from .flow_table import IDLE_MARGIN_SECONDS, PassthroughFlow
@@ -25,6 +25,7 @@
         self._host = host
         self._owners: dict[bytes, tuple[str, float]] = {}
         self._pending: dict[str, list[bytes]] = {}
+        self._pending_remote: dict[str, list[bytes]] = {}
 
     def __len__(self) -> int:
         return len(self._owners)
@@ -62,17 +63,42 @@
         force : bool
             Whether to repeat registrations that have been sent already.
         """
+        agents = list(agents)
         hosts = find_primary_hosts(key, agents)
+        data_centres = {agent.host: agent.data_centre for agent in agents}
+        own_data_centre = data_centres.get(self._host)
         for host in hosts if force else hosts - flow.registered_with:
+            is_remote = own_data_centre not in (None, data_centres[host])
+            pending = self._pending_remote if is_remote else self._pending
             if host != self._host:
-                self._pending.setdefault(host, []).append(key)
+                pending.setdefault(host, []).append(key)
         flow.registered_with = hosts
 
     def pop_registrations(self) -> dict[str, list[bytes]]:
-        """Remove and return the queued keys, by the IP address of the receiver."""
+        """Remove and return the queued keys for the own data centre.
+
+        They are grouped by the IP address of the receiver.
+        """
         pending, self._pending = self._pending, {}
         return pending
 
+    def pop_remote_registrations(
+        self, is_open: Callable[[bytes], bool]
+    ) -> dict[str, list[bytes]]:
+        """Remove and return the queued keys for other data centres.
+
+        Packets of a flow enter elsewhere only after its caller has moved, so many flows
+        share a frame, and flows that have ended meanwhile are left out.
+
+        Parameters
+        ----------
+        is_open : callable
+            Tells whether a flow is still open.
+        """
+        pending, self._pending_remote = self._pending_remote, {}
+        still_open = {host: list(filter(is_open, k)) for host, k in pending.items()}
+        return {host: keys for host, keys in still_open.items() if keys}
+
     def sweep(self, now: float, max_flow_seconds: float) -> None:
         """Remove entries that are older than the longest flow."""
         for key, (_, recorded_at) in list(self._owners.items()):
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -31,6 +31,9 @@
 from .peer_frames import Findings, Forward, Load, LoadReport, Owned, Registered
 from .segments import Segment, SegmentCodec, caller_host
 
+# Registrations in one frame, 14 bytes each; a datagram has at most 1,200 bytes.
+MAX_REGISTRATIONS = 80
+
 
 class PassthroughAgent:
     """Apply the rules for the passthrough flows of one backend server.
@@ -204,12 +207,18 @@
         return self._search.on_findings(host, findings, now)
 
     def pop_queued_frames(self) -> list[PassthroughEffect]:
-        """Remove and return the queued registrations and inquiries."""
+        """Remove and return the queued inquiries, and registrations near by."""
         registrations = self._locations.pop_registrations()
-        effects: list[PassthroughEffect] = [
-            ToPeer(host, Registered(flows)) for host, flows in registrations.items()
-        ]
-        return effects + self._search.pop_inquiries()
+        return _batch_registrations(registrations) + self._search.pop_inquiries()
+
+    def pop_remote_registrations(self) -> list[PassthroughEffect]:
+        """Remove and return the queued registrations for other data centres."""
+        registrations = self._locations.pop_remote_registrations(self._is_open)
+        return _batch_registrations(registrations)
+
+    def _is_open(self, key: bytes) -> bool:
+        flow = self._state.flows.get(key)
+        return flow is not None and flow.state is FlowState.OPEN
 
     def _handle_forward(
         self, frame: Forward, segment: Segment, now: float
@@ -301,5 +310,16 @@
             self._locations.register(key, flow, agents, force)
 
 
+def _batch_registrations(
+    registrations: dict[str, list[bytes]],
+) -> list[PassthroughEffect]:
+    """Return the frames of registrations, by the IP address of the receiver."""
+    return [
+        ToPeer(host, Registered(keys[start : start + MAX_REGISTRATIONS]))
+        for host, keys in registrations.items()
+        for start in range(0, len(keys), MAX_REGISTRATIONS)
+    ]
+
+
 def _announces_owner(effects: list[PassthroughEffect]) -> bool:
     return any(type(e) is ToPeer and type(e.frame) is Owned for e in effects)
--- a/src/berylturn/decoding.py
+++ b/src/berylturn/decoding.py
@@ -4,11 +4,12 @@
 
 import re
 import socket
+import zlib
 from typing import Protocol, TypeVar
 
 import msgspec
 
-from .errors import BerylturnError
+from .errors import BerylturnError, PlatformError
 
 Value = TypeVar("Value")
 
@@ -20,6 +21,9 @@
 # Stands in a document for a value below that depth.
 TOO_DEEP = b'"value is nested too deeply"'
 MAX_PORT = 65_535
+MIN_COMPRESSED_BYTES = 500
+MAX_DECOMPRESSED_BYTES = 64_000_000
+ZLIB_START = b"\x78"
 MULTICAST_START = 224
 
 # Strings, and runs of opening and of closing brackets.
@@ -73,6 +77,30 @@
     return decode_value(decoder, pruned, error, message)
 
 
+def compress(data: bytes) -> bytes:
+    """Return data in zlib's format, or as it is if it is short."""
+    return data if len(data) < MIN_COMPRESSED_BYTES else zlib.compress(data, 1)
+
+
+def decompress(data: bytes) -> bytes:
+    """Return data that `compress` returned, or raise `PlatformError`.
+
+    No map or array of msgpack starts with the byte that zlib's format starts with.
+    """
+    if data[:1] != ZLIB_START:
+        return data
+    reader = zlib.decompressobj()
+    try:
+        plain = reader.decompress(data, MAX_DECOMPRESSED_BYTES)
+    except zlib.error as error:
+        raise PlatformError(
+            f"copy of a peer is damaged; it is requested again: {error}"
+        ) from error
+    if not reader.eof:
+        raise PlatformError("copy of a peer is incomplete or too large; check the peer")
+    return plain
+
+
 def replace_deep_values(data: bytes, max_depth: int, replacement: bytes) -> bytes:
     """Return a JSON text in which arrays and objects below a depth are replaced.
 
--- a/src/berylturn/platform/objects.py
+++ b/src/berylturn/platform/objects.py
@@ -27,9 +27,10 @@
 LOGGED_BYTES = 120
 # The platform replies within milliseconds, or within seconds while it is impaired.
 CALL_SECONDS = 3.0
-# One second less than the longest watch that the platform allows, 30 s. Keep-alive
-# probes detect a dead connection earlier.
-WATCH_MILLISECONDS = 29_000
+# Two seconds less than the shortest history of the platform's sites: after a longer
+# watch without a change, its revision may be gone, so that the next call is a list.
+# Keep-alive probes detect a dead connection earlier.
+WATCH_MILLISECONDS = 18_000
 WATCH_SECONDS = WATCH_MILLISECONDS / 1000 + 2.0
 
 _KINDS = {
--- a/src/berylturn/process/http_client.py
+++ b/src/berylturn/process/http_client.py
@@ -9,6 +9,7 @@
 import httptools
 
 from ..errors import PlatformUnavailable
+from .logs import log_warning
 
 CONNECT_SECONDS = 1.0
 # A connection whose state a middlebox has dropped is detected within 3 s.
@@ -42,6 +43,11 @@
         self._fail(f"connection lost; try again: {exc or 'closed by the other end'}")
 
     def data_received(self, data: bytes) -> None:
+        if self.waiter is None:
+            # A second copy of a response would be taken for that of the next request.
+            log_warning("http_response_unexpected", bytes=len(data))
+            self._close()
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -54,14 +60,18 @@
         response = HttpResponse(self._parser.get_status_code(), bytes(self._body))
         keep_alive = self._parser.should_keep_alive()
         waiter, self.waiter = self.waiter, None
-        if not keep_alive and self.transport is not None:
-            self.transport.close()
-            self.transport = None
+        if waiter is None or not keep_alive:
+            self._close()
         else:
             self._reset_parser()
         if waiter is not None and not waiter.done():
             waiter.set_result(response)
 
+    def _close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+            self.transport = None
+
     def _reset_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()
--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -8,12 +8,21 @@
 
 import msgspec
 
-from ..decoding import decode_value
+from ..decoding import compress, decode_value, decompress
 from ..errors import PlatformError
-from ..version.snapshots import KindSnapshot, ObjectChange, StoredObject
+from ..version.snapshots import (
+    KindSnapshot,
+    ObjectChange,
+    SnapshotDelta,
+    StoredObject,
+)
 
 VIEW_PATH = "/view"
 STATE_PATH = "/state"
+# Encoded copies that are kept for peers with the same earlier copy.
+MAX_EXPORTS = 32
+# Digits of the largest revision or digest that a peer may send, 2**64.
+MAX_DIGITS = 20
 
 
 class Kind(StrEnum):
@@ -56,6 +65,8 @@
     digest: int
     # None if the requesting peer already has them.
     objects: list[tuple[str, int, bytes]] | None
+    # Names and revisions of removals if `objects` are only the changed ones; else None.
+    removed: dict[str, int] | None = None
 
 
 _share_encoder = msgspec.msgpack.Encoder()
@@ -74,6 +85,11 @@
     def __init__(self, on_change: Callable[[Kind], None]) -> None:
         self._on_change = on_change
         self.snapshots = {kind: KindSnapshot() for kind in KINDS}
+        # Kinds of which a copy of the changes alone did not match the peer's.
+        self._needs_full_copy: set[Kind] = set()
+        # Encoded copies by the path of the request, for the state they were made from.
+        self._exports: dict[str, bytes] = {}
+        self._exported_state: list[int] = []
 
     @property
     def complete(self) -> bool:
@@ -112,25 +128,43 @@
         Parameters
         ----------
         path : str
-            Path that the peer requested, with the digests of its copies.
+            Path that the peer requested, with the digests and revisions of its copies.
         """
-        known = zip(self.snapshots.items(), _parse_known_digests(path), strict=True)
+        state = [*self.digests, *(s.at_revision for s in self.snapshots.values())]
+        if state != self._exported_state:
+            self._exported_state = state
+            self._exports.clear()
+        if path not in self._exports:
+            if len(self._exports) >= MAX_EXPORTS:
+                self._exports.clear()
+            # Nodes that have the same copy send the same path after a change.
+            self._exports[path] = compress(self._export(path))
+        return self._exports[path]
+
+    def _export(self, path: str) -> bytes:
+        digests, revisions = _parse_numbers(path, "known"), _parse_numbers(path, "at")
+        known = zip(self.snapshots.items(), digests, revisions, strict=True)
         shared = {
-            kind: _share_kind(snapshot, digest)
-            for (kind, snapshot), digest in known
+            kind: _share_kind(snapshot, digest, revision)
+            for (kind, snapshot), digest, revision in known
             if snapshot.known
         }
         return _share_encoder.encode(shared)
 
     def export_path(self) -> str:
         """Return the path that requests differing snapshots from a peer."""
-        return f"{VIEW_PATH}?known={'.'.join(map(str, self.digests))}"
+        revisions = [
+            0 if kind in self._needs_full_copy else self.snapshots[kind].at_revision
+            for kind in KINDS
+        ]
+        known, at = ".".join(map(str, self.digests)), ".".join(map(str, revisions))
+        return f"{VIEW_PATH}?known={known}&at={at}"
 
     def merge(self, data: bytes) -> None:
         """Merge the snapshots that a peer exported or raise `PlatformError`."""
         exported = decode_value(
             _share_decoder,
-            data,
+            decompress(data),
             PlatformError,
             "copy of a peer is unreadable; run the same release on every node",
         )
@@ -141,7 +175,27 @@
                 )
                 continue
             objects = [StoredObject(*item) for item in shared.objects]
-            self.replace(kind, shared.at_revision, objects, shared.newest)
+            if shared.removed is None:
+                self._needs_full_copy.discard(kind)
+                self.replace(kind, shared.at_revision, objects, shared.newest)
+            else:
+                self._apply_delta(kind, shared, objects)
+
+    def _apply_delta(
+        self, kind: Kind, shared: _SharedKind, objects: list[StoredObject]
+    ) -> None:
+        delta = SnapshotDelta(
+            shared.at_revision,
+            shared.newest,
+            shared.digest,
+            tuple(objects),
+            shared.removed or {},
+        )
+        changed, complete = self.snapshots[kind].apply_delta(delta)
+        if not complete:
+            self._needs_full_copy.add(kind)
+        if changed:
+            self._on_change(kind)
 
     def is_behind(self, newest: list[int]) -> bool:
         """Tell whether a peer knows a later change than this copy has.
@@ -164,16 +218,26 @@
         return not self.is_behind(newest) and digests == self.digests
 
 
-def _parse_known_digests(path: str) -> list[int]:
-    """Return the digests in a peer's request; 0 for missing or invalid ones."""
-    digest_texts = path.partition("?known=")[2].split(".")
-    digests = [int(text) if text.isdecimal() else 0 for text in digest_texts]
-    return (digests + [0] * len(KINDS))[: len(KINDS)]
+def _parse_numbers(path: str, name: str) -> list[int]:
+    """Return the numbers of a parameter of a peer's request, one for each kind.
 
-
-def _share_kind(snapshot: KindSnapshot, known: int) -> _SharedKind:
-    objects = None
-    if known != snapshot.digest:
-        items = snapshot.objects.values()
-        objects = [(item.name, item.revision, item.body) for item in items]
-    return _SharedKind(snapshot.at_revision, snapshot.newest, snapshot.digest, objects)
+    They are 0 where they are missing or invalid.
+    """
+    parameters = path.partition("?")[2].split("&")
+    text = next((p for p in parameters if p.startswith(f"{name}=")), "")
+    numbers = [
+        int(part) if part.isdecimal() and len(part) <= MAX_DIGITS else 0
+        for part in text.removeprefix(f"{name}=").split(".")
+    ]
+    return (numbers + [0] * len(KINDS))[: len(KINDS)]
+
+
+def _share_kind(snapshot: KindSnapshot, known: int, revision: int) -> _SharedKind:
+    """Return what a peer lacks: nothing, the changes since a revision, or all."""
+    state = (snapshot.at_revision, snapshot.newest, snapshot.digest)
+    if known == snapshot.digest:
+        return _SharedKind(*state, None)
+    delta = snapshot.changes_since(revision) if revision else None
+    items = snapshot.objects.values() if delta is None else delta.objects
+    objects = [(item.name, item.revision, item.body) for item in items]
+    return _SharedKind(*state, objects, None if delta is None else delta.removed)
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -34,8 +34,9 @@
 from .sockets import Address, open_udp
 
 REPORT_SECONDS = 0.5
-# Peers in other data centres get every second report, since traffic between data
-# centres is expensive.
+# Siblings in other data centres get every second report, since traffic between data
+# centres is expensive. Balancers there get changes of state; of servers that they use,
+# answers and probes tell them the load.
 REMOTE_REPORT_INTERVAL = 2
 # Registrations and inquiries are batched, so that a burst of new flows takes one frame.
 BATCH_SECONDS = 0.02
@@ -48,9 +49,10 @@
 MAX_BALANCERS = 64
 # A balancer that sends nothing for this long gets no more load reports.
 BALANCER_TIMEOUT_SECONDS = 10.0
-# Maximum number of agents of the same service that get load reports; it bounds the
-# traffic of a large service.
+# Maximum number of agents of the same service that get load reports, and of those in
+# other data centres; they bound the traffic of a large service.
 MAX_SIBLINGS = 16
+MAX_REMOTE_SIBLINGS = 4
 # Delay before the process ends, so that the last frames are sent.
 STOP_DELAY_SECONDS = 0.05
 
@@ -82,7 +84,7 @@
         self._backend_transport: asyncio.DatagramTransport | None = None
         self._balancers: dict[str, _Balancer] = {}
         self._siblings: list[AgentEntry] = []
-        self._last_sent_accepting: bool | None = None
+        self._last_sent_state: tuple[bool, bool] | None = None
         self._batch_scheduled = False
         self._sibling_report_scheduled = False
         self._queue_timer: asyncio.TimerHandle | None = None
@@ -251,6 +253,7 @@
     def _record_balancer(self, host: str, data_centre: str, now: float) -> None:
         self._balancers.pop(host, None)
         self._balancers[host] = _Balancer(data_centre, now)
+        self._node.frames.set_data_centre(host, data_centre)
         if len(self._balancers) > MAX_BALANCERS:
             del self._balancers[next(iter(self._balancers))]
 
@@ -324,21 +327,27 @@
             for entry in directory.by_service.get(service, ())
             if entry.host != node.host
         ]
-        self._siblings = _select_ring_successors(siblings, node.settings.node.name)
+        self._siblings = select_siblings(
+            siblings, node.settings.node.name, node.settings.node.data_centre
+        )
 
     def _send_load_if_changed(self) -> None:
         load = self._agent.load_report(self._node.now())
-        if load.accepting != self._last_sent_accepting:
-            self._send_load(load, include_remote=True)
-
-    def _send_load(self, load: LoadReport, include_remote: bool) -> None:
-        self._last_sent_accepting = load.accepting
+        if (load.accepting, load.cold) != self._last_sent_state:
+            self._send_load(load, remote_siblings=True, remote_balancers=True)
+
+    def _send_load(
+        self, load: LoadReport, remote_siblings: bool, remote_balancers: bool
+    ) -> None:
+        """Send a load report to peers near by, and to those elsewhere if wanted."""
+        self._last_sent_state = (load.accepting, load.cold)
         own_data_centre = self._node.settings.node.data_centre
-        peers = [(sibling.host, sibling.data_centre) for sibling in self._siblings]
-        peers += [(host, peer.data_centre) for host, peer in self._balancers.items()]
         frame = Load(load)
-        for host, data_centre in peers:
-            if include_remote or data_centre == own_data_centre:
+        for sibling in self._siblings:
+            if remote_siblings or sibling.data_centre == own_data_centre:
+                self._node.send(sibling.host, frame)
+        for host, balancer in self._balancers.items():
+            if remote_balancers or balancer.data_centre == own_data_centre:
                 self._node.send(host, frame)
 
     async def _run_reports(self) -> None:
@@ -355,7 +364,8 @@
                     del self._balancers[host]
             self._send_load(
                 self._agent.load_report(now),
-                include_remote=report_number % REMOTE_REPORT_INTERVAL == 0,
+                remote_siblings=report_number % REMOTE_REPORT_INTERVAL == 0,
+                remote_balancers=False,
             )
             node.metrics.gauge("flows", len(self._agent.flows))
             node.metrics.gauge("registered", self._agent.registered)
@@ -366,11 +376,16 @@
             await asyncio.sleep(SWEEP_SECONDS)
             max_flow_duration = self._node.settings.opaque_backend.longest_flow
             self._agent.sweep(self._node.now(), max_flow_duration.total_seconds())
+            self._node.send_effects(self._agent.pop_remote_registrations())
 
     async def _stop(self) -> None:
         node = self._node
         self._send_effects(self._agent.stop(node.now()))
-        self._send_load(self._agent.load_report(node.now()), include_remote=True)
+        self._send_load(
+            self._agent.load_report(node.now()),
+            remote_siblings=True,
+            remote_balancers=True,
+        )
         log_event(
             "stopping", flows=len(self._agent.flows), backend_left=self._gate.has_left
         )
@@ -414,10 +429,23 @@
     )
 
 
-def _select_ring_successors(agents: list[AgentEntry], name: str) -> list[AgentEntry]:
+def select_siblings(
+    agents: list[AgentEntry], name: str, data_centre: str
+) -> list[AgentEntry]:
     """Return up to `MAX_SIBLINGS` agents that follow a name in the ring of names.
 
-    Each agent of a service then gets load reports from equally many others.
+    Each agent of a service then gets load reports from equally many others. Those in
+    other data centres are at most `MAX_REMOTE_SIBLINGS`.
+
+    Parameters
+    ----------
+    agents : list of AgentEntry
+        Other agents of the service.
+    name, data_centre : str
+        Name and data centre of the own agent.
     """
     ordered = sorted(agents, key=lambda agent: (agent.name <= name, agent.name))
-    return ordered[:MAX_SIBLINGS]
+    near = [agent for agent in ordered if agent.data_centre == data_centre]
+    far = [agent for agent in ordered if agent.data_centre != data_centre]
+    far = far[:MAX_REMOTE_SIBLINGS]
+    return [*near[: MAX_SIBLINGS - len(far)], *far]
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import signal
 import socket
 from collections.abc import Callable
@@ -23,6 +24,7 @@
 from ..version.owners import AgentEntry
 from ..version.routes import RouteTable
 from .agent_entries import EntryReader
+from .frame_counts import FrameCounts
 from .http_server import Handler, HttpReply, HttpRequest, serve_http
 from .logs import LogWriter, RateLimitedLog, log_event, log_warning
 from .metrics import Metrics
@@ -43,6 +45,8 @@
 METRICS_PATH = "/metrics"
 CONFIGURATION_NAME = "main"
 TICK_SECONDS = 1.0
+# Ticks between two log lines on the frames that were sent.
+FRAME_LOG_TICKS = 10
 
 TableDecoder = Callable[[bytes], tuple[RouteTable, list[str]]]
 
@@ -91,6 +95,7 @@
         self.store = store
         self.logs = logs
         self.metrics = Metrics(settings.metrics.statsd, settings.node.name)
+        self.frames = FrameCounts(self.metrics, settings.node.data_centre)
         self.event_log = RateLimitedLog()
         self.tasks = TaskGroup()
         self.view = ObjectView(self._on_view_change)
@@ -194,6 +199,8 @@
     def read_agent_entries(self) -> list[AgentEntry]:
         """Return the directory's entries and pass them to the relay if there is one."""
         entries = self._entry_reader.read(self.view.snapshots[Kind.AGENTS])
+        for entry in entries:
+            self.frames.set_data_centre(entry.host, entry.data_centre)
         if self._relayed_kinds:
             self.relay.set_agents(entries)
         return entries
@@ -210,8 +217,10 @@
     def send(self, host: str, frame: PeerFrame) -> None:
         """Send a frame to another node."""
         port = self.settings.passthrough.peer_port
+        data = encode_frame(frame)
+        self.frames.record(type(frame).__name__, host, len(data))
         try:
-            self._peer_transport.sendto(encode_frame(frame), (host, port))
+            self._peer_transport.sendto(data, (host, port))
         except (OSError, ValueError) as error:
             self.record_drop("peer_address", error)
 
@@ -319,8 +328,10 @@
         return HttpReply(200, self.metrics.render().encode(), "text/plain")
 
     async def _run_ticks(self) -> None:
-        while True:
+        for tick in itertools.count(1):
             await asyncio.sleep(TICK_SECONDS)
+            if tick % FRAME_LOG_TICKS == 0:
+                log_event("frames_sent", counts=self.frames.pop_recent())
             self.event_log.start_second()
             self.metrics.gauge("task_failures", self.tasks.failures)
             if self._file.has_changed():
--- a/src/berylturn/process/view_relay.py
+++ b/src/berylturn/process/view_relay.py
@@ -198,15 +198,13 @@
 def choose_relayed_kinds(settings: PassthroughSettings) -> frozenset[Kind]:
     """Return the kinds that a node follows through seeds.
 
-    Seeds watch all kinds. Other balancers watch the kinds that they must act on within
-    seconds, but not the directory, which changes most often. Agents watch no kind,
-    because they also get the status of all kinds from each balancer.
+    Seeds watch all kinds, and the other nodes none. They also compare revisions with
+    each balancer or agent that they exchange frames with, so that a seed that has lost
+    the platform without noticing holds none of them back.
     """
     seeds = {host for host, _ in settings.passthrough.seeds}
     if not seeds - {settings.passthrough.host}:
         return frozenset()
-    if isinstance(settings, PassthroughAgentSettings):
-        return frozenset(KINDS)
     if settings.passthrough.host in seeds:
         return frozenset()
-    return frozenset({Kind.AGENTS})
+    return frozenset(KINDS)
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -10,9 +10,11 @@
 from berylturn.connection.segments import describe_flow
 from berylturn.errors import PacketError
 from berylturn.platform import packets
+from berylturn.process.passthrough_agent import select_siblings
+from berylturn.version.owners import AgentEntry
 from berylturn.version.snapshots import KindSnapshot, ObjectChange, StoredObject
 
-from .passthrough_mesh import ACK, SYN, Mesh, caller_packet, flow_key, make_table
+from .passthrough_mesh import ACK, RST, SYN, Mesh, caller_packet, flow_key, make_table
 
 SEVEN_AGENTS = {
     "a1": ("dc-a", "desk"),
@@ -622,6 +624,54 @@
         self.assertEqual(owner, mesh.open_flow("front-a", flow_key(1)))
 
 
+class TestControlTraffic(unittest.TestCase):
+    """Control frames must not grow with the number of hosts far away.
+
+    Load pattern: 136 agents told each of 59 balancers their load, and each of five
+    other data centres each flow that opened.
+    """
+
+    def test_registrations_elsewhere_are_batched(self) -> None:
+        centres = ["dc-a", "dc-b", "dc-c"]
+        agents = {f"{dc}{n}": (dc, "desk") for dc in centres for n in range(3)}
+        mesh = Mesh(agents, {"front-a": "dc-a"})
+        owners = [mesh.open_flow("front-a", flow_key(n)) for n in range(60)]
+        near = mesh.frame_counts["Registered"]
+        ended = flow_key(0)
+        mesh.send(
+            "front-a",
+            caller_packet(ended, RST, ack=mesh.backends[owners[0]].first_sequence + 1),
+        )
+        sent = {
+            name: rules.pop_remote_registrations()
+            for name, rules in mesh.agents.items()
+        }
+        frames = [effect for effects in sent.values() for effect in effects]
+        keys = [key for effect in frames for key in effect.frame.flows]
+        # Each open flow is registered in two other data centres, by a few frames.
+        self.assertEqual(2 * 59, len(keys))
+        self.assertNotIn(ended, keys)
+        self.assertLessEqual(len(frames), 3 * 6)
+        self.assertLessEqual(near, 60)
+        for name in mesh.agents:
+            self.assertEqual([], mesh.agents[name].pop_remote_registrations())
+
+    @params(("small service", 7, 6, 6), ("large service", 136, 16, 4))
+    def test_siblings(self, _: str, agents: int, chosen: int, far: int) -> None:
+        entries = [
+            AgentEntry(f"side-{n}", f"10.0.0.{n}", f"dc-{n % 6}", "desk")
+            for n in range(1, agents)
+        ]
+        siblings = select_siblings(entries, "side-0", "dc-0")
+        elsewhere = [entry for entry in siblings if entry.data_centre != "dc-0"]
+        self.assertLessEqual(len(siblings), chosen)
+        self.assertLessEqual(len(elsewhere), far)
+        near = [entry for entry in entries if entry.data_centre == "dc-0"]
+        self.assertEqual(
+            min(len(near), chosen - len(elsewhere)), len(siblings) - len(elsewhere)
+        )
+
+
 class TestSnapshots(unittest.TestCase):
     """Snapshots must not go back when answers arrive out of order."""
 
--- a/tests/test_untrusted_input.py
+++ b/tests/test_untrusted_input.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import unittest
+import zlib
 from collections.abc import Callable
 
 import msgspec
@@ -18,11 +20,17 @@
 from berylturn.connection.snapshot import read_snapshot
 from berylturn.connection.token import verify_token
 from berylturn.decoding import replace_deep_values
-from berylturn.errors import BerylturnError, PacketError, PlatformError
+from berylturn.errors import (
+    BerylturnError,
+    PacketError,
+    PlatformError,
+    PlatformUnavailable,
+)
 from berylturn.platform.documents import decode_configuration, decode_heartbeat
 from berylturn.platform.objects import decode_events, decode_listing
 from berylturn.process.agent_entries import EntryReader
-from berylturn.process.object_view import ObjectView
+from berylturn.process.http_client import HttpConnection
+from berylturn.process.object_view import Kind, ObjectView
 from berylturn.process.tasks import RESTART_SECONDS, TaskGroup
 from berylturn.version.selectors import parse_labels, parse_selector
 from berylturn.version.snapshots import KindSnapshot, StoredObject
@@ -263,6 +271,19 @@
 
         check()
 
+    @params(
+        ("truncated", lambda data: data[:-5]),
+        ("damaged", lambda data: data[:20] + b"\0\0\0" + data[23:]),
+        ("too large", lambda data: zlib.compress(bytes(70_000_000), 1)),
+    )
+    def test_damaged_copy(self, _: str, damage: Callable[[bytes], bytes]) -> None:
+        full, peer = ObjectView(lambda kind: None), ObjectView(lambda kind: None)
+        objects = [StoredObject(f"n{i}", i + 1, b"%d" % i) for i in range(200)]
+        full.replace(Kind.AGENTS, 300, objects)
+        with self.assertRaises(PlatformError):
+            peer.merge(damage(full.export("/view")))
+        self.assertFalse(peer.snapshots[Kind.AGENTS].known)
+
     def test_load_report_out_of_range(self) -> None:
         report = LoadReport(True, float("nan"), 0, 1, 0, [])
         data = msgspec.msgpack.encode([4, report])
@@ -278,6 +299,56 @@
         )
 
 
+class TestLateCopies(unittest.TestCase):
+    """A second copy of a response is never taken for that of the next request."""
+
+    @params(("with the first", 0.0), ("between two requests", 0.02))
+    def test_second_copy(self, _: str, delay: float) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                while head := await reader.readuntil(b"\r\n\r\n"):
+                    body = head.split()[1]
+                    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+                    writer.write(answer % (len(body), body))
+                    await asyncio.sleep(delay)
+                    writer.write(answer % (len(body), body))
+            writer.close()
+
+        async def play() -> list[bytes]:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            connection = HttpConnection(server.sockets[0].getsockname())
+            bodies = []
+            for path in ("/1", "/2", "/3"):
+                response = await connection.request("GET", path, seconds=2.0)
+                bodies.append(response.body)
+                await asyncio.sleep(3 * delay)
+            connection.close()
+            server.close()
+            await asyncio.sleep(0.05)
+            return bodies
+
+        self.assertEqual([b"/1", b"/2", b"/3"], asyncio.run(play()))
+
+    def test_response_that_breaks_off_is_no_success(self) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+            writer.close()
+
+        async def play() -> None:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            connection = HttpConnection(server.sockets[0].getsockname())
+            with self.assertRaises(PlatformUnavailable):
+                await connection.request("GET", "/", seconds=2.0)
+            server.close()
+
+        asyncio.run(play())
+
+
 class TestTasks(unittest.TestCase):
     """A long-running task that fails unexpectedly is started again."""
 
