End requests whose callers have given up, so that they hold no slot

Cause: a request without an answer (a server that fails silently; its caller leaves at its deadline without a packet) counted as in progress until its flow was idle for 20 s. With the limit on work, as many such requests as the limit kept an agent from admitting anything. Found by reading; shown by test_room_after_lost_requests, which failed first. Change: each second the agent ends requests that are older than their route's timeout. Result: the test passes, also that such requests count while their callers may wait.

--- a/src/berylturn/connection/flow_table.py
+++ b/src/berylturn/connection/flow_table.py
@@ -223,6 +223,22 @@
             if now - flow.last_active_at > limits[flow.state]:
                 self.drop(key)
 
+    def end_abandoned_requests(
+        self, now: float, timeout_of: Callable[[bytes], float]
+    ) -> None:
+        """End requests whose callers have given up; these may not tell.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+        timeout_of : callable
+            Returns the seconds after which a flow's caller gives up a request.
+        """
+        for key, flow in self._flows.items():
+            if flow.busy_since is not None and now - flow.busy_since > timeout_of(key):
+                self._end_request(flow, now)
+
     def smooth_load(self, now: float) -> None:
         """Add the mean of running requests since the last call to the average."""
         self._change_running(0, now)
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -190,7 +190,10 @@
         return effects
 
     def sweep(self, now: float, max_flow_seconds: float) -> None:
-        """Remove expired flows, locations, offers and inquiries."""
+        """Remove expired flows, requests, locations, offers and inquiries."""
+        self._state.flows.end_abandoned_requests(
+            now, lambda key: self._state.table.route_of(key).timeout_seconds
+        )
         self._state.flows.sweep(now, self._state.table.idle_seconds)
         self._locations.sweep(now, max_flow_seconds)
         self._offers.sweep(now)
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -78,6 +78,7 @@
     flows: set[bytes] = field(default_factory=set)
     dead: bool = False
     full: bool = False
+    mute: bool = False
     received_flows: list[bytes] = field(default_factory=list)
     openings: int = 0
 
@@ -95,7 +96,7 @@
             return [backend_packet(segment.flow, SYN | ACK, self.first_sequence)]
         if segment.flow not in self.flows:
             return [mark_returned(data)]
-        if segment.size:
+        if segment.size and not self.mute:
             return [
                 backend_packet(segment.flow, ACK, self.first_sequence + 1, body=b"ok")
             ]
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -6,7 +6,19 @@
 
 from nose2.tools import params
 
+from berylturn.platform import packets
+from berylturn.version.routes import Route, RouteTable, ServiceLimits, ServiceShare
+
 from .overload_replay import Replay
+from .passthrough_mesh import (
+    ACK,
+    FIN,
+    SERVICE,
+    Mesh,
+    backend_packet,
+    caller_packet,
+    flow_key,
+)
 
 # The letters' and issues' targets: rejected arrivals under 5 %, answers at 90 % of what
 # the servers can process throughout, and whole again within 2 s.
@@ -15,6 +27,46 @@
 RECOVERY_SECONDS = 2.0
 
 
+class TestLostRequests(unittest.TestCase):
+    """A request without an answer must not hold its slot for longer than its caller.
+
+    Load pattern: servers fail without an answer, and their callers leave at their
+    deadline without a packet.
+    """
+
+    @params(("caller still waits", 0.9, False), ("caller has left", 1.1, True))
+    def test_room_after_lost_requests(self, _: str, after: float, free: bool) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, {"front-a": "dc-a"})
+        share = (ServiceShare("desk", 1.0),)
+        route = Route("r", share, 1, 0.1, timeout_seconds=1.0)
+        mesh.change_table(RouteTable(2, {SERVICE: route}, {"desk": ServiceLimits()}))
+        mesh.report("a1", slots=1)
+        for number in range(8):
+            serve_short_flow(mesh, flow_key(number))
+        mesh.backends["a1"].mute = True
+        limit = mesh.agents["a1"].load_report(mesh.now).slots * 2
+        for number in range(100, 100 + limit):
+            flow = flow_key(number)
+            mesh.open_flow("front-a", flow)
+            mesh.send_request("front-a", flow, "a1")
+        mesh.now += after
+        mesh.report("a1", slots=1)
+        mesh.agents["a1"].sweep(mesh.now, 60.0)
+        self.assertEqual(free, bool(mesh.open_flow("front-a", flow_key(200))))
+
+
+def serve_short_flow(mesh: Mesh, flow: bytes) -> None:
+    """Open a flow, send one request and close the flow at both ends."""
+    mesh.open_flow("front-a", flow)
+    mesh.now += 0.01
+    mesh.send_request("front-a", flow, "a1")
+    mesh.now += 0.02
+    ack = mesh.backends["a1"].first_sequence + 1
+    mesh.send("front-a", caller_packet(flow, ACK | FIN, ack=ack))
+    closing = packets.decode_from_backend(backend_packet(flow, ACK | FIN, ack))
+    mesh.agents["a1"].on_backend(closing, mesh.now)
+
+
 class TestOverload(unittest.TestCase):
     """Each request opens a flow, and servers of unlike speed are nearly or over full.
 
