Tell peers in other data centres of a state that time has changed

Cause, found by reading: a server that becomes silent, or whose cold start ends, changes its state by time alone; the periodic report near by marked that state as sent, so peers in other data centres were not told, since they get no periodic report any more. Change: the periodic report goes to all peers when the state differs from the last one sent. The service time that is assumed until it is known is a property of the meter.

--- a/src/berylturn/connection/load_board.py
+++ b/src/berylturn/connection/load_board.py
@@ -22,6 +22,7 @@
 
 from ..version.owners import AgentEntry
 from .peer_frames import LoadReport
+from .work_meter import DEFAULT_SERVICE_SECONDS
 
 # Reports arrive twice a second; a report expires when four successors are missing.
 REPORT_TTL_SECONDS = 2.0
@@ -32,8 +33,6 @@
 # Estimated share of a slot that a new flow uses, until the next report includes it.
 BUSY_PER_OPENING = 0.15
 
-# Service time of a request that is assumed until it has been measured.
-DEFAULT_SERVICE_SECONDS = 0.03
 # Time by which a server in another data centre must be sooner to be chosen: the way
 # there and back, and its cost.
 REMOTE_SECONDS = 0.01
--- a/src/berylturn/connection/passthrough_openings.py
+++ b/src/berylturn/connection/passthrough_openings.py
@@ -3,11 +3,7 @@
 from __future__ import annotations
 
 from ..version.owners import AgentEntry, rank_agents
-from .load_board import (
-    DEFAULT_SERVICE_SECONDS,
-    choose_for_opening,
-    choose_soonest,
-)
+from .load_board import choose_for_opening, choose_soonest
 from .offers import Offers
 from .opening_queue import (
     ATTEMPT_SECONDS,
@@ -20,6 +16,7 @@
 from .passthrough_state import PassthroughState
 from .peer_frames import Forward, Owned, next_forward
 from .segments import Segment
+from .work_meter import WorkMeter
 
 # Bounds the forwarding, so that an opening which no agent admits is answered before
 # the caller retransmits it (after 200 ms).
@@ -52,6 +49,10 @@
         self._offers = offers
         self._queue = state.queue
 
+    @property
+    def _meter(self) -> WorkMeter:
+        return self._state.flows.meter
+
     def handle_opening(
         self, frame: Forward, segment: Segment, now: float
     ) -> list[PassthroughEffect]:
@@ -122,7 +123,7 @@
         report = self._state.gate.report
         if report is None:
             return False
-        meter = self._state.flows.meter
+        meter = self._meter
         limit = (
             meter.limit if meter.has_short_flows else REQUESTS_PER_SLOT * report.slots
         )
@@ -134,7 +135,7 @@
         Long flows are not counted as work while they are idle, so this holds for
         servers whose flows are requests.
         """
-        meter = self._state.flows.meter
+        meter = self._meter
         return meter.has_short_flows and (
             bool(self._queue) or self._state.expected_requests(now) >= meter.limit
         )
@@ -146,19 +147,12 @@
         work arrives than the server can process, there is no such time, and a caller
         that is told late would only try again.
         """
-        return self._state.flows.meter.has_short_flows and self._queue.is_congested(now)
-
-    def _service_seconds(self) -> float:
-        return self._state.flows.meter.service_seconds or DEFAULT_SERVICE_SECONDS
-
-    def _seconds_per_request(self) -> float:
-        report = self._state.gate.report
-        return self._service_seconds() / (report.slots if report is not None else 1)
+        return self._meter.has_short_flows and self._queue.is_congested(now)
 
     def _expected_wait(self, reason: str, now: float) -> float | None:
         """Return the seconds until an opening is admitted here, None if never."""
         if reason == "busy":
-            return len(self._queue) * self._seconds_per_request()
+            return len(self._queue) * self._meter.seconds_per_request
         return self._state.gate.expected_wait(reason, len(self._queue), now)
 
     def _admit(
@@ -254,8 +248,8 @@
             and board.accepts(agent.host, now)
             and not board.is_cold(agent.host, now)
         ]
-        backlog = self._state.outstanding(now) * self._seconds_per_request()
-        own_seconds = backlog + self._service_seconds()
+        backlog = self._state.outstanding(now) * self._meter.seconds_per_request
+        own_seconds = backlog + self._meter.expected_service_seconds
         return choose_soonest(
             candidates, frame.data_centre, board, now, own_seconds - PASS_ON_SECONDS
         )
@@ -282,8 +276,8 @@
         opening = self._make_queued(frame, segment, service, now)
         ahead = self._queue.count_ahead(opening, now)
         if self._is_overloaded(now):
-            margin = SPREAD_FACTOR * self._service_seconds()
-            admitted_at = now + ahead * self._seconds_per_request()
+            margin = SPREAD_FACTOR * self._meter.expected_service_seconds
+            admitted_at = now + ahead * self._meter.seconds_per_request
             if admitted_at + margin > opening.useful_until:
                 return self._refuse(frame, segment, "overloaded", now)
         self._state.log_decision(
@@ -305,18 +299,21 @@
         """Return how many openings can be admitted within their callers' attempts."""
         if reason != "busy":
             return MAX_QUEUED
-        return int((ATTEMPT_SECONDS - TRANSIT_SECONDS) / self._seconds_per_request())
+        return int(
+            (ATTEMPT_SECONDS - TRANSIT_SECONDS) / self._meter.seconds_per_request
+        )
 
     def _make_queued(
         self, frame: Forward, segment: Segment, service: str, now: float
     ) -> QueuedOpening:
         route = self._state.table.route_of(segment.flow)
-        meter = self._state.flows.meter
+        meter = self._meter
         first_sent_at = now - segment.opening_age
         # After the admission, the request arrives, waits for those before it in the
         # server and is processed.
-        ahead = (meter.limit - 1) * self._seconds_per_request()
-        remaining = meter.gap_seconds + ahead + self._service_seconds() + RETURN_SECONDS
+        in_server = (meter.limit - 1) * meter.seconds_per_request
+        in_server += meter.expected_service_seconds
+        remaining = meter.gap_seconds + in_server + RETURN_SECONDS
         attempt_ends_at = now + remaining_attempt_seconds(segment)
         return QueuedOpening(
             frame,
--- a/src/berylturn/connection/work_meter.py
+++ b/src/berylturn/connection/work_meter.py
@@ -13,6 +13,8 @@
 # Requests per slot while the server's service time is unknown: one in progress and one
 # waiting.
 REQUESTS_PER_SLOT = 2
+# Service time of a request that is assumed until it has been measured.
+DEFAULT_SERVICE_SECONDS = 0.03
 # Completed requests of which the mean service time is taken.
 SAMPLE_REQUESTS = 8
 # Weight of the newest sample in a moving average.
@@ -52,6 +54,16 @@
         """Return the mean seconds that a request occupies a slot, None if unknown."""
         return self._service_seconds
 
+    @property
+    def expected_service_seconds(self) -> float:
+        """Return the mean service time, or an assumption until it is known."""
+        return self._service_seconds or DEFAULT_SERVICE_SECONDS
+
+    @property
+    def seconds_per_request(self) -> float:
+        """Return the mean seconds between two completions of a busy server."""
+        return self.expected_service_seconds / self._slots
+
     @property
     def gap_seconds(self) -> float:
         """Return the mean seconds from an admission to the first request."""
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -336,6 +336,16 @@
         if (load.accepting, load.cold) != self._last_sent_state:
             self._send_load(load, remote_siblings=True, remote_balancers=True)
 
+    def _send_periodic_load(self, report_number: int) -> None:
+        """Send peers near by the load, and all peers a state that time has changed."""
+        load = self._agent.load_report(self._node.now())
+        changed = (load.accepting, load.cold) != self._last_sent_state
+        self._send_load(
+            load,
+            remote_siblings=changed or report_number % REMOTE_REPORT_INTERVAL == 0,
+            remote_balancers=changed,
+        )
+
     def _send_load(
         self, load: LoadReport, remote_siblings: bool, remote_balancers: bool
     ) -> None:
@@ -362,11 +372,7 @@
             for host, balancer in list(self._balancers.items()):
                 if now - balancer.last_frame_at > BALANCER_TIMEOUT_SECONDS:
                     del self._balancers[host]
-            self._send_load(
-                self._agent.load_report(now),
-                remote_siblings=report_number % REMOTE_REPORT_INTERVAL == 0,
-                remote_balancers=False,
-            )
+            self._send_periodic_load(report_number)
             node.metrics.gauge("flows", len(self._agent.flows))
             node.metrics.gauge("registered", self._agent.registered)
             node.metrics.gauge("running", self._agent.running)
