Refuse a selector file that is not UTF-8, and keep the demo's output plain

Cause: UnicodeDecodeError was not caught, so the tool ended in a traceback (failed first in test_cli). The demo wrote its progress with carriage returns into files, too. Ruled out: an exit status of 2 for a change that may have taken effect: docs/OPERATORS.md says 1 for it, with a reason, and exit statuses are stable; a test now says so as well.

--- a/src/berylturn/cli.py
+++ b/src/berylturn/cli.py
@@ -14,10 +14,12 @@
 
 from .errors import (
     BerylturnError,
+    ChangeUnknown,
     ObjectNotFound,
     PlatformUnavailable,
     SelectorError,
     SettingsError,
+    VersionConflict,
 )
 from .process.claims import claim_address, list_claims, release_claims
 from .process.control import (
@@ -30,7 +32,7 @@
 )
 from .process.http_client import HttpConnection
 from .process.object_view import STATE_PATH
-from .process.operator_tool import OperatorTool
+from .process.operator_tool import NotInForce, OperatorTool
 from .process.platform import current_version
 from .process.settings import TlsSection, parse_address
 from .version.selectors import (
@@ -322,6 +324,8 @@
         body = {key: section[key] for key in ("service", "address", "match")}
     except OSError as error:
         raise SelectorError(f"cannot read {file}: {error}; check the path") from error
+    except UnicodeDecodeError as error:
+        raise SelectorError(f"{file} is not UTF-8 text; save it as UTF-8") from error
     except (configparser.Error, KeyError) as error:
         raise SelectorError(
             f"{file} needs [selector] with service, address and match ({error})"
@@ -379,12 +383,23 @@
         "explain": explain_service,
         "inspect": inspect_daemon,
     }
-    statuses = {"VersionConflict": EXIT_CONFLICT, "NotInForce": EXIT_NOT_IN_FORCE}
     try:
         fire.Fire(commands, name="berylturn")
     except BerylturnError as error:
         print(f"berylturn: {error}", file=sys.stderr)
-        sys.exit(statuses.get(type(error).__name__, EXIT_FAILED))
+        sys.exit(choose_exit_status(error))
+
+
+def choose_exit_status(error: BerylturnError) -> int:
+    """Return the tool's exit status for an error.
+
+    A change that may have taken effect is no mere conflict: the operator has to look.
+    """
+    if isinstance(error, VersionConflict) and not isinstance(error, ChangeUnknown):
+        return EXIT_CONFLICT
+    if isinstance(error, NotInForce):
+        return EXIT_NOT_IN_FORCE
+    return EXIT_FAILED
 
 
 if __name__ == "__main__":
--- a/src/berylturn_standins/opaque_demo.py
+++ b/src/berylturn_standins/opaque_demo.py
@@ -46,14 +46,16 @@
             replies = await asyncio.gather(*(flow.send_request() for flow in flows))
             requests += len(replies)
             missed += replies.count(False)
-            print(f"\r{requests} requests on {opened} flows", end="", flush=True)
+            if sys.stdout.isatty():
+                print(f"\r{requests} requests on {opened} flows", end="", flush=True)
             if not stopped and CLOCK.monotonic() > stop_at:
                 await deployment.stop("front-a")
                 await deployment.wait_until(lambda: len(deployment.router.ready) == 1)
                 stopped = True
             await asyncio.sleep(PAUSE_SECONDS)
         served = {name: b.answered for name, b in deployment.backends.items()}
-    print(f"\nanswered by {served}; one balancer stopped on the way; {missed} missed")
+    print(f"\n{requests} requests on {opened} flows")
+    print(f"answered by {served}; one balancer stopped on the way; {missed} missed")
     return missed
 
 
