--- a/review/standins/kit.py
+++ b/review/standins/kit.py
@@ -268,6 +268,8 @@
         # By client end and service end: own first seq, next byte of the client, open.
         self.flows: dict[tuple, dict] = {}
         self.ran: list[bytes] = []
+        # Time and flow of each packet of an open flow that reached this target.
+        self.reached: list[tuple[float, tuple]] = []
         self.reports = False
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((self.host, ports["app"]))
@@ -305,6 +307,7 @@
                 self.flows[key] = flow
             self._send(pack(*ends, SYN | ACK, flow["seq"], flow["next"]))
             return
+        self.reached.append((time.monotonic(), key))
         own_next = (flow["seq"] + 1) % 2**32 if flow else None
         if flow is None or (not flow["open"] and packet.ack != own_next):
             bounced = bytearray(data)
@@ -421,8 +424,41 @@
             self._event.set()
 
 
+class Router:
+    """Probe the frontend machines and choose one for each packet.
+
+    The machines of the clients' zone come first in the list. A machine is out of
+    rotation after two misses, until it answers a probe with 200 again.
+    """
+
+    def __init__(self, deployment, zone: str) -> None:
+        self._deployment = deployment
+        self._zone = zone
+        self._misses = dict.fromkeys(deployment.frontends, 2)
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def choose(self, port: int) -> str:
+        """Return the address of the machine for a client's port."""
+        names = [name for name, misses in self._misses.items() if misses < 2]
+        zones = self._deployment.zones
+        near = [name for name in names if zones[name] == self._zone]
+        names = near or names or list(self._misses)
+        return self._deployment.hosts[names[port % len(names)]]
+
+    def is_in_rotation(self, name: str) -> bool:
+        """Tell whether packets may go to a machine."""
+        return self._misses[name] < 2
+
+    def _run(self) -> None:
+        while True:
+            for name in self._misses:
+                is_ready = self._deployment.is_ready(name)
+                self._misses[name] = 0 if is_ready else self._misses[name] + 1
+            time.sleep(0.5)
+
+
 class Clients:
-    """All clients, at one address, and the router before the frontend machines."""
+    """All clients of one zone, at one address."""
 
     def __init__(self, deployment, host: str) -> None:
         self.host = host
@@ -441,8 +477,7 @@
 
     def send(self, flow: ClientFlow, data: bytes) -> None:
         """Send a packet to a frontend machine that is in rotation."""
-        hosts = self._deployment.rotation
-        host = hosts[flow.source[1] % len(hosts)]
+        host = self._deployment.router.choose(flow.source[1])
         self._socket.sendto(data, (host, self._port))
 
     def _receive(self) -> None:
@@ -482,8 +517,9 @@
         self.store = Store((store_host, self.ports["store"]))
         self.targets = {n: Target(self, n, *sides[n].split()) for n in sides}
         self.clients = Clients(self, client_host)
-        self.frontends = [self.hosts[name] for name in frontends]
-        self.rotation = self.frontends
+        self.frontends = list(frontends)
+        # The clients are in the zone of the first frontend machine.
+        self.router = Router(self, frontends[self.frontends[0]])
 
     def start(self, name: str) -> None:
         """Start the process of one machine by the command of the deploy file."""
@@ -555,7 +591,9 @@
 
     def _fill_template(self, name: str, role: str) -> str:
         host, ports = self.hosts[name], self.ports
-        seeds = ",".join(f"{seed}:{ports['control']}" for seed in self.frontends[:3])
+        seeds = ",".join(
+            f"{self.hosts[seed]}:{ports['control']}" for seed in self.frontends[:3]
+        )
         values = {
             "node_name": name,
             "zone": self.zones[name],
