--- a/review/standins/kit.py
+++ b/review/standins/kit.py
@@ -271,10 +271,23 @@
         # Time and flow of each packet of an open flow that reached this target.
         self.reached: list[tuple[float, tuple]] = []
         self.reports = False
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.bind((self.host, ports["app"]))
-        for work in (self._receive, self._report):
-            threading.Thread(target=work, daemon=True).start()
+        self._app_port = ports["app"]
+        self._listen()
+        threading.Thread(target=self._report, daemon=True).start()
+
+    def crash(self) -> None:
+        """End at once and lose all flows; nothing is sent any more."""
+        self.reports = False
+        self._socket.close()
+        self.flows = {}
+
+    def restart(self, cold_s: float) -> None:
+        """Start as a new incarnation under the same identifier, cold for a while."""
+        self.born = int(time.time() * 1000)
+        self._sequence = 0
+        self.turn_cold(cold_s)
+        self._listen()
+        self.reports = True
 
     def turn_cold(self, seconds: float) -> None:
         """Become cold without a restart, as a target of an evacuated zone may."""
@@ -287,9 +300,22 @@
     def _send(self, data: bytes) -> None:
         self._socket.sendto(data, self._outbound)
 
-    def _receive(self) -> None:
-        while True:
-            data = self._socket.recv(65_535)
+    def _listen(self) -> None:
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((self.host, self._app_port))
+        self._socket.settimeout(0.1)
+        receiver = threading.Thread(target=self._receive, args=(self._socket,))
+        receiver.daemon = True
+        receiver.start()
+
+    def _receive(self, sock: socket.socket) -> None:
+        while sock is self._socket:
+            try:
+                data = sock.recv(65_535)
+            except TimeoutError:
+                continue
+            except OSError:
+                return
             packet = Packet(data)
             if not packet.is_genuine:
                 self._deployment.record.write(f"{self.name} got a forged packet")
@@ -332,10 +358,11 @@
     def _report(self) -> None:
         while True:
             if self.reports:
-                self._send_heartbeat()
+                self.send_heartbeat(self.next_heartbeat())
             time.sleep(HEARTBEAT_S)
 
-    def _send_heartbeat(self) -> None:
+    def next_heartbeat(self) -> bytes:
+        """Return the body of the next heartbeat."""
         self._sequence += 1
         cold_ms = max(0, int(1000 * (self._cold_until - time.monotonic())))
         body = {
@@ -349,14 +376,18 @@
             "sequence": self._sequence,
             "born": self.born,
         }
+        return json.dumps(body).encode()
+
+    def send_heartbeat(self, body: bytes) -> int | None:
+        """Send a heartbeat; return the status of the answer, None without one."""
         connection = HTTPConnection(*self._control, timeout=1)
         path = f"/-/instances/i-{self.name}"
         headers = {"Content-Type": "application/json"}
         try:
-            connection.request("PUT", path, json.dumps(body).encode(), headers)
-            connection.getresponse().read()
+            connection.request("PUT", path, body, headers)
+            return connection.getresponse().status
         except (OSError, HTTPException):
-            return
+            return None
         finally:
             connection.close()
 
@@ -521,6 +552,13 @@
         # The clients are in the zone of the first frontend machine.
         self.router = Router(self, frontends[self.frontends[0]])
 
+    def add_side(self, name: str, like: str, zone: str, service: str) -> Target:
+        """Add a side machine and its target at the address of one that is gone."""
+        self.hosts[name], self.zones[name] = self.hosts[like], zone
+        self.roles[name] = "agent"
+        self.targets[name] = Target(self, name, zone, service)
+        return self.targets[name]
+
     def start(self, name: str) -> None:
         """Start the process of one machine by the command of the deploy file."""
         role = self.roles[name]
