--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Case 1: an agent that was restarted in an evacuation resets flows of its target."""
+"""Case 2: an agent that was restarted in an evacuation resets flows of its target."""
 
 import os
 import sys
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Case 2: packets of an open flow reach other targets only, in a rolling restart."""
+"""Case 4: packets of an open flow reach other targets only, in a rolling restart."""
 
 import os
 import sys
