Judge the start of a backend server by its start time, not its cold time alone

Cause: the gate worked out a server's start from the rest of its cold time. Servers of an evacuated data centre become cold without a restart, so an agent that had started during the evacuation took its server for younger than itself and its empty table for complete.

Ruled out: a restart of the server (one start time in all reports), a directory that lacks an agent (the resets came from the owner's own agent), a late report (none was sent). A report that only turns cold now writes backend_state, with saw_start, as the logs could not tell these apart.

Change: connection.backend_reports keeps the order of reports and decides alone what they prove.

--- a/src/berylturn/connection/opening_gate.py
+++ b/src/berylturn/connection/opening_gate.py
@@ -13,6 +13,7 @@
 
 from ..domain import Limits
 from ..version.routes import ServiceLimits
+from .backend_reports import BackendReport, BackendReports, ProcessStart
 from .gate import AdmissionGate
 
 # Window of the platform's cold limit (1 s) plus the variation in delivery time.
@@ -23,17 +24,8 @@
 # Report intervals, from the start of this process, within which the first report is
 # due: one interval plus delivery delay.
 FIRST_REPORT_INTERVALS = 1.3
-# Time from the start of this process to its first instruction: 33 ms on 0.645 of a
-# core. The previous agent process had ended by then, so a server that started later
-# has only flows that this process admitted.
-INTERPRETER_START_SECONDS = 0.04
-# Hosts and servers that lost power together start within 1.5 s of one another.
-POWER_RETURN_SECONDS = 2.0
-# Reports with the known start time must have been missing for this long before reports
-# with an earlier start time are accepted: a server whose clock was set back restarts
-# with an earlier one. For as long after a refused connection, reports of that start
-# count as stale.
-STALE_REPORT_SECONDS = 2.5
+# After a refused connection, reports of the same start count as stale for this long.
+STALE_REFUSED_SECONDS = 2.5
 # A running backend server answers an opening within milliseconds.
 UNANSWERED_SECONDS = 0.25
 # Two lost flows within this time indicate a restart: a server that drops single flows
@@ -43,40 +35,6 @@
 UNLIMITED_FLOW_RATE = 10_000.0
 
 
-@dataclass(frozen=True, slots=True)
-class BackendReport:
-    """State of a backend server as reported in one heartbeat.
-
-    Attributes
-    ----------
-    identifier : str
-        Name that the server chose for itself; it may be the same after a restart.
-    started_ms : int
-        Unix time of its start in milliseconds; orders reports, together with
-        `sequence`.
-    sequence : int
-        Number of the report since that start; increases with each report.
-    service, data_centre, address : str
-        Service that it belongs to, its data centre, and its address.
-    slots : int
-        Number of requests that it processes concurrently.
-    draining : bool
-        Whether it is draining.
-    cold_seconds : float
-        Remaining seconds of its cold start.
-    """
-
-    identifier: str
-    started_ms: int
-    sequence: int
-    service: str
-    data_centre: str
-    address: str
-    slots: int
-    draining: bool
-    cold_seconds: float
-
-
 @dataclass(frozen=True, slots=True)
 class GateBounds:
     """Limits from the settings.
@@ -101,22 +59,19 @@
     ----------
     bounds : GateBounds
         Limits from the settings.
-    now : float
-        Start of the process, in seconds on the monotonic clock. The gate is closed
-        until the first report. The previous process may have used up the cold limit
-        of the last second, unless the server started after this process.
+    process : ProcessStart
+        Start of this process. The gate is closed until the first report. The previous
+        process may have used up the cold limit of the last second, unless the server
+        started after this process.
     """
 
-    def __init__(self, bounds: GateBounds, now: float) -> None:
+    def __init__(self, bounds: GateBounds, process: ProcessStart) -> None:
+        now = process.at
         self._bounds = bounds
         self._started = now
-        self._saw_start = False
-        self._started_together = False
+        self._reports = BackendReports(process)
         self._limits = ServiceLimits()
         self._admission_gate = AdmissionGate(Limits(flow_rate=UNLIMITED_FLOW_RATE), now)
-        self._report: BackendReport | None = None
-        self._reported_at = now
-        self._conflicting_report: BackendReport | None = None
         self._deregistered = False
         self._evacuated = False
         self._cold_until = now
@@ -129,7 +84,7 @@
     @property
     def report(self) -> BackendReport | None:
         """Return the newest report, or None without one or after deregistration."""
-        return None if self._deregistered else self._report
+        return None if self._deregistered else self._reports.newest
 
     @property
     def has_left(self) -> bool:
@@ -142,7 +97,7 @@
 
         If so, this process has seen every flow of the server.
         """
-        return self._saw_start
+        return self._reports.saw_start
 
     @property
     def started_together(self) -> bool | None:
@@ -151,7 +106,7 @@
         If so, both have probably lost power, or only these two were restarted. None
         without a report, as when the server does not come back at all.
         """
-        return None if self.report is None else self._started_together
+        return None if self.report is None else self._reports.started_together
 
     @property
     def open_flows(self) -> int:
@@ -161,24 +116,19 @@
     @property
     def reported_at(self) -> float:
         """Return when the newest report arrived, on the monotonic clock."""
-        return self._reported_at
+        return self._reports.arrived_at
 
     def record_report(self, report: BackendReport, now: float) -> bool:
         """Store a report if it is the newest; return whether the server restarted."""
-        current = self._report
-        if current is not None and not self._is_newer(report, current, now):
+        current = self._reports.newest
+        if not self._reports.record(report, self._limits.cold_seconds, now):
             if report.started_ms != current.started_ms:
                 self._assume_cold(report.cold_seconds, now)
             return False
         restarted = current is not None and report.started_ms != current.started_ms
-        self._report = report
-        self._reported_at = now
         self._deregistered = False
-        self._conflicting_report = None
         self._unanswered.clear()
         self._assume_cold(report.cold_seconds, now)
-        if restarted or report.cold_seconds > 0:
-            self._record_start(restarted, report.cold_seconds, now)
         if report.cold_seconds <= 0 and not restarted:
             self._cold_until = min(self._cold_until, max(now, self._return_cold_until))
         self._admission_gate.draining = report.draining
@@ -190,7 +140,8 @@
 
     def deregister(self, identifier: str) -> bool:
         """Deregister the backend server; return whether the identifier is its own."""
-        if self._report is None or self._report.identifier != identifier:
+        newest = self._reports.newest
+        if newest is None or newest.identifier != identifier:
             return False
         self._deregistered = True
         return True
@@ -254,7 +205,7 @@
         if self._admission_gate.server_down:
             return "down"
         if (
-            now - self._reported_at
+            now - self._reports.arrived_at
             > REPORT_TIMEOUT_INTERVALS * self._bounds.report_seconds
         ):
             return "silent"
@@ -313,31 +264,10 @@
         """Remove an ended flow from the count."""
         self._admission_gate.end_flow()
 
-    def _record_start(self, restarted: bool, cold_seconds: float, now: float) -> None:
-        server_started = now - (self._limits.cold_seconds - cold_seconds)
-        server_age = self._started - server_started
-        self._saw_start |= restarted or server_age < INTERPRETER_START_SECONDS
-        self._started_together |= restarted or server_age < POWER_RETURN_SECONDS
-
     def _assume_cold(self, seconds: float, now: float) -> None:
         """Treat the server as cold for some seconds, or until it reports otherwise."""
         self._cold_until = max(self._cold_until, now + seconds)
 
-    def _is_newer(
-        self, report: BackendReport, current: BackendReport, now: float
-    ) -> bool:
-        if report.started_ms == current.started_ms:
-            return report.sequence > current.sequence
-        if report.started_ms > current.started_ms:
-            return True
-        previous, self._conflicting_report = self._conflicting_report, report
-        return (
-            previous is not None
-            and previous.started_ms == report.started_ms
-            and report.sequence > previous.sequence
-            and now - self._reported_at > STALE_REPORT_SECONDS
-        )
-
     def _is_stale(
         self, report: BackendReport, current: BackendReport | None, now: float
     ) -> bool:
@@ -345,7 +275,7 @@
         return (
             current is not None
             and report.started_ms == current.started_ms
-            and now - self._connection_refused_at <= STALE_REPORT_SECONDS
+            and now - self._connection_refused_at <= STALE_REFUSED_SECONDS
         )
 
     def _is_unresponsive(self, now: float) -> bool:
@@ -355,7 +285,7 @@
         return now - oldest > UNANSWERED_SECONDS
 
     def _has_cold_capacity(self, now: float) -> bool:
-        if not self._saw_start and now - self._started < COLD_WINDOW_SECONDS:
+        if not self._reports.saw_start and now - self._started < COLD_WINDOW_SECONDS:
             return False
         self._expire_openings(now)
         return len(self._recent_openings) < self._cold_opening_limit()
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -7,8 +7,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ..clock import epoch_milliseconds
+from ..connection.backend_reports import BackendReport, ProcessStart
 from ..connection.load_board import LoadBoard
-from ..connection.opening_gate import BackendReport, GateBounds, OpeningGate
+from ..connection.opening_gate import GateBounds, OpeningGate
 from ..connection.passthrough import PassthroughAgent
 from ..connection.passthrough_effects import PassthroughEffect, ToBackend
 from ..connection.peer_frames import (
@@ -68,7 +70,7 @@
 
     def __init__(self, node: PassthroughNode) -> None:
         self._node = node
-        self._gate = OpeningGate(_build_gate_bounds(node), node.started)
+        self._gate = OpeningGate(_build_gate_bounds(node), _find_process_start(node))
         self._board = LoadBoard()
         self._agent = PassthroughAgent(
             node.host,
@@ -171,6 +173,7 @@
             started_ms=report.started_ms,
             sequence=report.sequence,
             restarted=restarted,
+            saw_start=self._gate.saw_start,
         )
         entry = AgentEntry(
             node.settings.node.name,
@@ -426,12 +429,19 @@
     )
 
 
+def _find_process_start(node: PassthroughNode) -> ProcessStart:
+    """Return the start of this process on both clocks."""
+    age_ms = int(1000 * (node.now() - node.started))
+    return ProcessStart(node.started, epoch_milliseconds(node.clock) - age_ms)
+
+
 def _has_state_changed(before: BackendReport, after: BackendReport) -> bool:
     return (
         before.started_ms != after.started_ms
         or before.draining != after.draining
         or before.service != after.service
         or before.slots != after.slots
+        or (before.cold_seconds > 0) != (after.cold_seconds > 0)
     )
 
 
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -12,8 +12,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from berylturn.connection.backend_reports import BackendReport, ProcessStart
 from berylturn.connection.load_board import LoadBoard
-from berylturn.connection.opening_gate import BackendReport, GateBounds, OpeningGate
+from berylturn.connection.opening_gate import GateBounds, OpeningGate
 from berylturn.connection.passthrough import PassthroughAgent
 from berylturn.connection.passthrough_effects import ToBackend, ToCaller, ToPeer
 from berylturn.connection.passthrough_router import PassthroughRouter
@@ -151,9 +152,10 @@
         for name, data_centre in balancers.items():
             self.start_balancer(name, data_centre)
 
-    def start_agent(self, name: str, reported: bool = True) -> None:
-        """Start an agent without earlier state."""
-        gate = OpeningGate(GateBounds(1.5, 5.0, 1.2), WARM_AT if reported else self.now)
+    def start_agent(self, name: str, reported: bool = True, unix_ms: int = 0) -> None:
+        """Start an agent without earlier state, at a time of day."""
+        process = ProcessStart(WARM_AT if reported else self.now, unix_ms)
+        gate = OpeningGate(GateBounds(1.5, 5.0, 1.2), process)
         board = self.boards[name] = LoadBoard()
         self.gates[name] = gate
         rules = PassthroughAgent(
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -7,6 +7,7 @@
 
 from nose2.tools import params
 
+from berylturn.clock import SystemClock
 from berylturn.connection.peer_frames import LoadReport
 from berylturn.process.passthrough_agent import PassthroughAgentDaemon
 from berylturn.version.owners import AgentEntry
@@ -21,6 +22,7 @@
     node.settings.node.data_centre = "dc-a"
     node.now.return_value = 10.0
     node.started = 0.0
+    node.clock = SystemClock()
     node.send = lambda host, frame: sent.add(host)
     daemon = PassthroughAgentDaemon(node)
     daemon._agent = Mock()
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -209,6 +209,45 @@
         self.assertEqual(ended, mesh.was_reset(flow))
 
 
+class TestSeenStart(unittest.TestCase):
+    """Flows must not be reset because an agent took its server for a younger one.
+
+    Load pattern: agents are restarted in turn while their servers serve open flows.
+    """
+
+    AGENT_STARTED_MS = 5_000
+
+    @params(
+        # Servers of an evacuated data centre become cold without a restart.
+        ("turns cold long after its start", [(1, 0.0), (1, 1.9)], False),
+        ("first report seen is cold", [(1, 1.9)], False),
+        # A late report of the crashed predecessor comes before the first of the server.
+        ("late report of its predecessor", [(1, 0.0), (2, 0.0)], False),
+        ("late report, then a cold one", [(1, 0.0), (2, 1.9)], False),
+        ("restarted after the agent", [(1, 0.0), (6_000, 1.9)], True),
+        ("started after the agent", [(6_000, 1.9)], True),
+    )
+    def test_open_flows_after_a_restart_of_the_agent(
+        self, _: str, reports: list[tuple[int, float]], is_new: bool
+    ) -> None:
+        mesh = Mesh(SEVEN_AGENTS, BALANCERS)
+        flow = flow_key(1)
+        owner = mesh.open_flow("front-a", flow)
+        mesh.now += 10.0
+        for name in SEVEN_AGENTS:
+            mesh.start_agent(name, reported=False, unix_ms=self.AGENT_STARTED_MS)
+        mesh.start_balancer("front-a", "dc-a")
+        mesh.now += 4.0
+        if is_new:
+            mesh.backends[owner].flows.clear()
+        for name in SEVEN_AGENTS:
+            for started_ms, cold_seconds in reports:
+                mesh.report(name, started_ms, cold_seconds=cold_seconds)
+                mesh.now += 0.05
+        answered = mesh.send_request("front-a", flow, owner)
+        self.assertEqual((not is_new, is_new), (answered, mesh.was_reset(flow)))
+
+
 class TestStartingBalancer(unittest.TestCase):
     """Packets must be served that arrive before a balancer has routes and agents."""
 
