Offer a server each flow once, and search until the flow's agent is back

Cause: an agent that had been restarted offered its server each copy of a packet, although the server had returned the first one. Its search went on to unsure agents only after another copy within 0.5 s, which callers do not send from the third copy on, and it was dropped as soon as an agent named an owner, also one that was away.

Ruled out: a directory without the owner (all entries were there), lost datagrams (each copy reached an agent), an owner that returned the packets (none reached it).

Change: Offers remembers what the own server has returned, until another opening of the flow. A search keeps the newest packet for 2 s or the route's timeout, asks agents that are away again, hands the packet over when the owner's agent is back, and goes on without agents that are overdue. An owner that another agent names is offered the packet first. An agent whose server accepts an offered packet tells the searching agent. A search without a result writes flow_search_expired with the silent agents.

--- a/src/berylturn/connection/flow_inquiry.py
+++ b/src/berylturn/connection/flow_inquiry.py
@@ -5,19 +5,25 @@
 transmitted once per agent, mostly between data centres, and its caller would wait for
 all of them in sequence. A key has 12 bytes, is sent to all agents in parallel, and is
 answered from their tables.
+
+Load pattern: agents are restarted in turn, so that one of them is always away, and the
+owner of a flow may be the one. Callers double the interval between their copies up to
+1.6 s, so the packet is kept and agents that are away are asked again until they answer.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from .peer_frames import Forward
 from .segments import Segment
 
-# An answer between nodes takes milliseconds; a later retransmission of the packet
-# starts a new inquiry.
-INQUIRY_TIMEOUT_SECONDS = 0.5
+# Interval at which agents that have not answered are asked again.
+REPEAT_SECONDS = 0.25
+# Time without a new copy after which a packet is dropped: longer than the longest
+# interval between two copies, 1.6 s.
+SEARCH_TIMEOUT_SECONDS = 2.0
 # Keys per frame, so that the frame fits into a datagram of 1,200 bytes.
 MAX_KEYS_PER_FRAME = 80
 # About 1.5 KB each, with the buffered packet.
@@ -32,19 +38,16 @@
     ----------
     frame, segment : Forward, Segment
         Newest packet of the flow, buffered until the owner is known.
-    unanswered_hosts : set of str
-        IP addresses of the agents that have not answered.
-    asked_at : float
-        Time at which the inquiry was queued.
+    started_at, updated_at, asked_at : float
+        Times of the first and the newest packet, and of the last question.
+    named : str
+        IP address of the owner by the word of another agent; empty if none.
+    answered : set of str
+        IP addresses of the agents that have answered.
     unsure : set of str
         IP addresses of the agents whose servers must be offered the packet.
     offered_to : str
         IP address of the agent that the packet was offered to; empty if none.
-    unanswered_offers : int
-        Number of agents that were offered the packet and did not answer.
-    retransmitted : bool
-        Whether the caller has retransmitted the packet. From then on the search does
-        not wait for agents that have not answered.
     all_restarted : bool or None
         Whether every agent that knows started together with its server; None while
         no agent knows.
@@ -52,12 +55,13 @@
 
     frame: Forward
     segment: Segment
-    unanswered_hosts: set[str]
+    started_at: float
+    updated_at: float
     asked_at: float
+    named: str = ""
+    answered: set[str] = field(default_factory=set)
     unsure: set[str] = field(default_factory=set)
     offered_to: str = ""
-    unanswered_offers: int = 0
-    retransmitted: bool = False
     all_restarted: bool | None = None
 
 
@@ -68,40 +72,59 @@
         self._pending: dict[bytes, PendingInquiry] = {}
         self._unsent: dict[str, list[bytes]] = {}
 
+    def __len__(self) -> int:
+        return len(self._pending)
+
     def get(self, flow: bytes) -> PendingInquiry | None:
         """Return the pending inquiry for a flow, or None."""
         return self._pending.get(flow)
 
+    def pending(self) -> list[PendingInquiry]:
+        """Return all pending inquiries."""
+        return list(self._pending.values())
+
     def update_packet(
         self, frame: Forward, segment: Segment, now: float
     ) -> PendingInquiry | None:
         """Replace the packet of a pending inquiry; return the inquiry, or None.
 
-        An agent that was offered an earlier packet and has not answered is skipped.
+        An agent that was offered an earlier packet and has not answered is skipped
+        and asked again.
         """
         inquiry = self._pending.get(segment.flow)
-        if inquiry is None or now - inquiry.asked_at > INQUIRY_TIMEOUT_SECONDS:
+        if inquiry is None:
             return None
         inquiry.frame, inquiry.segment = frame, segment
-        inquiry.retransmitted = True
-        if inquiry.offered_to:
-            inquiry.offered_to = ""
-            inquiry.unanswered_offers += 1
+        inquiry.updated_at = now
+        inquiry.answered.discard(inquiry.offered_to)
+        inquiry.offered_to = ""
         return inquiry
 
     def start(
-        self, frame: Forward, segment: Segment, hosts: Iterable[str], now: float
-    ) -> None:
-        """Start an inquiry at some agents for the flow of a packet."""
-        unanswered_hosts = set(hosts)
-        self._pending.pop(segment.flow, None)
-        self._pending[segment.flow] = PendingInquiry(
-            frame, segment, unanswered_hosts, now
-        )
+        self, frame: Forward, segment: Segment, named: str, now: float
+    ) -> PendingInquiry:
+        """Start an inquiry for the flow of a packet.
+
+        Parameters
+        ----------
+        frame, segment : Forward, Segment
+            The packet.
+        named : str
+            IP address of the owner if another agent has named it, else empty.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        inquiry = PendingInquiry(frame, segment, now, now, now, named)
+        self._pending[segment.flow] = inquiry
         if len(self._pending) > MAX_INQUIRIES:
             del self._pending[next(iter(self._pending))]
-        for host in unanswered_hosts:
-            self._unsent.setdefault(host, []).append(segment.flow)
+        return inquiry
+
+    def ask(self, inquiry: PendingInquiry, hosts: Collection[str], now: float) -> None:
+        """Queue the question for the owner of a flow to some agents."""
+        inquiry.asked_at = now
+        for host in hosts:
+            self._unsent.setdefault(host, []).append(inquiry.segment.flow)
 
     def discard(self, flow: bytes) -> None:
         """Remove the inquiry for a flow, if there is one."""
@@ -110,7 +133,7 @@
     def record_answer(
         self, host: str, flow: bytes, absent: bool, started_together: bool | None
     ) -> PendingInquiry | None:
-        """Record one agent's answer; return the inquiry if the search can continue.
+        """Record one agent's answer; return the inquiry, or None if it has ended.
 
         Parameters
         ----------
@@ -129,15 +152,13 @@
         inquiry.all_restarted = combine_started_together(
             inquiry.all_restarted, started_together
         )
-        inquiry.unanswered_hosts.discard(host)
-        if inquiry.offered_to == host and absent:
-            inquiry.offered_to = ""
-        elif not absent:
+        inquiry.answered.add(host)
+        if absent:
+            inquiry.unsure.discard(host)
+            if inquiry.offered_to == host:
+                inquiry.offered_to = ""
+        elif inquiry.offered_to != host:
             inquiry.unsure.add(host)
-        if inquiry.offered_to or (
-            inquiry.unanswered_hosts and not inquiry.retransmitted
-        ):
-            return None
         return inquiry
 
     def pop_unsent(self) -> list[tuple[str, list[bytes]]]:
@@ -149,12 +170,27 @@
             for start in range(0, len(keys), MAX_KEYS_PER_FRAME)
         ]
 
-    def sweep(self, now: float) -> None:
-        """Remove inquiries that have timed out."""
-        for flow, inquiry in list(self._pending.items()):
-            if now - inquiry.asked_at <= INQUIRY_TIMEOUT_SECONDS:
-                break
-            del self._pending[flow]
+    def pop_expired(
+        self, now: float, timeout_of: Callable[[bytes], float]
+    ) -> list[PendingInquiry]:
+        """Remove and return the inquiries whose packets have no use any more.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+        timeout_of : callable
+            Returns the seconds after which a flow's caller gives up a request.
+        """
+        expired = [
+            inquiry
+            for flow, inquiry in self._pending.items()
+            if now - inquiry.updated_at > SEARCH_TIMEOUT_SECONDS
+            or now - inquiry.started_at > timeout_of(flow)
+        ]
+        for inquiry in expired:
+            del self._pending[inquiry.segment.flow]
+        return expired
 
 
 def combine_started_together(first: bool | None, second: bool | None) -> bool | None:
--- a/src/berylturn/connection/flow_search.py
+++ b/src/berylturn/connection/flow_search.py
@@ -3,15 +3,27 @@
 from __future__ import annotations
 
 from ..version.owners import rank_agents
-from .flow_inquiry import Inquiries, PendingInquiry, combine_started_together
+from .flow_inquiry import (
+    REPEAT_SECONDS,
+    Inquiries,
+    PendingInquiry,
+    combine_started_together,
+)
 from .flow_locations import FlowLocations
 from .flow_table import FlowState
+from .load_board import ANSWER_TIMEOUT_SECONDS
 from .offers import Offers
 from .passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
 from .passthrough_state import PassthroughState
 from .peer_frames import Findings, Forward, Inquiry, next_forward
 from .segments import Segment
 
+# An agent that is restarted answers again within this time. One that is silent for
+# longer is asked only when the caller sends again.
+RESTART_SECONDS = 3.0
+# Silent agents named in a log line.
+LOGGED_HOSTS = 5
+
 
 class FlowSearch:
     """Find the owner of a flow by asking all agents, and forward the packet to it.
@@ -38,6 +50,11 @@
         self._locations = locations
         self._inquiries = Inquiries()
 
+    @property
+    def is_searching(self) -> bool:
+        """Tell whether an owner is being searched for."""
+        return len(self._inquiries) > 0
+
     def handle_unknown(
         self, frame: Forward, segment: Segment, now: float
     ) -> list[PassthroughEffect]:
@@ -45,10 +62,12 @@
         if not frame.inquirer:
             owner = self._locations.owner_of(segment.flow)
             if owner is not None and owner not in frame.visited:
-                return self._forward_to_owner(frame, owner, now)
+                if not self._state.board.is_suspect(owner, now):
+                    return self._forward_to_owner(frame, owner, now)
+                return self._search(frame, segment, owner, now)
             if self._state.host in frame.visited:
                 return []
-        if self._has_complete_table():
+        if self._has_complete_table() or self._offers.was_returned(segment.flow):
             return self.on_not_held(frame, segment, now)
         tag = self._offers.add(frame, segment, now)
         return [ToBackend(self._state.codec.write_tag(segment.data, tag))]
@@ -64,21 +83,34 @@
                     frame.inquirer, Findings([], [segment.flow], [], started_together)
                 )
             ]
-        inquiry = self._inquiries.update_packet(frame, segment, now)
-        if inquiry is not None:
-            return self._offer_next(inquiry, now)
-        hosts = [
-            agent.host
-            for agents in self._state.agents.values()
-            for agent in agents
-            if agent.host != self._state.host
-        ]
-        if not hosts:
-            return self._end_not_found(segment, 0, None, now)
-        self._inquiries.start(frame, segment, hosts, now)
-        for host in hosts:
-            self._state.board.expect_answer(host, now)
-        return []
+        return self._search(frame, segment, "", now)
+
+    def continue_searches(self, now: float) -> list[PassthroughEffect]:
+        """Ask silent agents again, and go on without those that do not answer."""
+        for inquiry in self._inquiries.pop_expired(
+            now, lambda flow: self._state.table.route_of(flow).timeout_seconds
+        ):
+            self._state.log_decision(
+                "flow_search_expired",
+                inquiry.segment.flow,
+                seconds=now - inquiry.started_at,
+                named=inquiry.named,
+                offered_to=inquiry.offered_to,
+                silent=self._find_silent(inquiry)[:LOGGED_HOSTS],
+            )
+        effects: list[PassthroughEffect] = []
+        for inquiry in self._inquiries.pending():
+            is_due = now - inquiry.asked_at >= REPEAT_SECONDS
+            if is_due:
+                away = [
+                    host
+                    for host in self._find_silent(inquiry)
+                    if self._state.board.silent_seconds(host, now) < RESTART_SECONDS
+                ]
+                self._ask(inquiry, away, now)
+            if is_due or inquiry.unsure:
+                effects += self._offer_next(inquiry, now)
+        return effects
 
     def on_inquiry(self, host: str, flows: list[bytes]) -> list[PassthroughEffect]:
         """Answer another agent from the flow table and the registered locations."""
@@ -90,7 +122,9 @@
                 findings.held.append((key, self._state.host))
             elif owner is not None and owner != host:
                 findings.held.append((key, owner))
-            elif flow is None and self._has_complete_table():
+            elif flow is None and (
+                self._has_complete_table() or self._offers.was_returned(key)
+            ):
                 findings.absent.append(key)
             else:
                 findings.unsure.append(key)
@@ -103,10 +137,7 @@
         self._state.board.record_report(host, None, now)
         effects: list[PassthroughEffect] = []
         for key, owner in findings.held:
-            inquiry = self._inquiries.get(key)
-            if inquiry is not None and owner != self._state.host:
-                self._inquiries.discard(key)
-                effects += self._forward_to_owner(inquiry.frame, owner, now)
+            effects += self._on_owner_named(host, key, owner, now)
         for keys, absent in ((findings.absent, True), (findings.unsure, False)):
             for key in keys:
                 inquiry = self._inquiries.record_answer(
@@ -122,10 +153,6 @@
             ToPeer(host, Inquiry(keys)) for host, keys in self._inquiries.pop_unsent()
         ]
 
-    def sweep(self, now: float) -> None:
-        """Remove inquiries that were not answered in time."""
-        self._inquiries.sweep(now)
-
     def _has_complete_table(self) -> bool:
         """Tell whether every flow of the own backend server is in the table."""
         return self._state.gate.has_left or self._state.gate.saw_start
@@ -137,34 +164,108 @@
         self._state.board.expect_answer(owner, now)
         return [ToPeer(owner, next_forward(frame, visited=visited))]
 
+    def _search(
+        self, frame: Forward, segment: Segment, named: str, now: float
+    ) -> list[PassthroughEffect]:
+        """Search for the owner of a flow, or go on with a newer packet of it."""
+        inquiry = self._inquiries.update_packet(frame, segment, now)
+        if inquiry is None:
+            inquiry = self._inquiries.start(frame, segment, named, now)
+            self._ask(inquiry, self._find_silent(inquiry), now)
+        elif now - inquiry.asked_at >= REPEAT_SECONDS:
+            self._ask(inquiry, self._find_silent(inquiry), now)
+        return self._offer_next(inquiry, now)
+
+    def _ask(self, inquiry: PendingInquiry, hosts: list[str], now: float) -> None:
+        self._inquiries.ask(inquiry, hosts, now)
+        for host in hosts:
+            self._state.board.expect_answer(host, now)
+
+    def _find_silent(self, inquiry: PendingInquiry) -> list[str]:
+        """Return the IP addresses of the agents that have not answered yet."""
+        return [
+            agent.host
+            for agents in self._state.agents.values()
+            for agent in agents
+            if agent.host != self._state.host and agent.host not in inquiry.answered
+        ]
+
+    def _on_owner_named(
+        self, host: str, flow: bytes, owner: str, now: float
+    ) -> list[PassthroughEffect]:
+        """Handle the answer that an agent owns a flow, by itself or by another.
+
+        An owner that another agent names may have restarted meanwhile or be away, so
+        only its own answer ends the search.
+        """
+        inquiry = self._inquiries.get(flow)
+        if inquiry is None or owner == self._state.host:
+            return []
+        if owner == host or owner not in self._find_silent(inquiry):
+            was_offered = inquiry.offered_to == owner
+            self._inquiries.discard(flow)
+            if was_offered:
+                return []
+            return self._forward_to_owner(inquiry.frame, owner, now)
+        inquiry.named = owner
+        inquiry.answered.add(host)
+        inquiry.unsure.add(host)
+        return self._offer_next(inquiry, now)
+
     def _offer_next(
         self, inquiry: PendingInquiry, now: float
     ) -> list[PassthroughEffect]:
         """Offer the packet to the next unsure agent, the most likely owner first."""
-        segment, frame = inquiry.segment, inquiry.frame
+        silent = self._find_silent(inquiry)
+        if inquiry.offered_to or self._must_wait(inquiry, silent, now):
+            return []
+        unsure_hosts = self._rank_unsure(inquiry)
+        if unsure_hosts:
+            chosen = unsure_hosts[0]
+            inquiry.unsure.discard(chosen)
+            inquiry.offered_to = chosen
+            self._state.board.expect_answer(chosen, now)
+            visited = [self._state.host]
+            offer = next_forward(
+                inquiry.frame, visited=visited, inquirer=self._state.host
+            )
+            return [ToPeer(chosen, offer)]
+        if silent:
+            return []
+        self._inquiries.discard(inquiry.segment.flow)
+        hops = sum(map(len, self._state.agents.values()))
+        return self._end_not_found(inquiry.segment, hops, inquiry.all_restarted, now)
+
+    def _must_wait(
+        self, inquiry: PendingInquiry, silent: list[str], now: float
+    ) -> bool:
+        """Tell whether answers that are due may still name the owner.
+
+        Each server that is offered the packet in vain costs its caller time.
+        """
+        board = self._state.board
+        if self._state.directory_trust(now).known_seconds <= 0:
+            return True
+        if inquiry.named in silent:
+            return board.silent_seconds(inquiry.named, now) < RESTART_SECONDS
+        is_new = now - inquiry.started_at < ANSWER_TIMEOUT_SECONDS
+        return is_new and any(not board.is_suspect(host, now) for host in silent)
+
+    def _rank_unsure(self, inquiry: PendingInquiry) -> list[str]:
+        """Return the agents to offer the packet to, the most likely owner first."""
+        flow = inquiry.segment.flow
         # A node that has just started does not know to which services an address was
         # routed before, so it also tries the agents of all other services, last.
-        services = self._state.table.possible_services(segment.flow)
-        unsure_hosts = [
+        services = self._state.table.possible_services(flow)
+        ranked = [
             agent.host
             for service in dict.fromkeys([*services, *sorted(self._state.agents)])
             for agent in rank_agents(
-                segment.flow, frame.data_centre, self._state.agents.get(service, ())
+                flow, inquiry.frame.data_centre, self._state.agents.get(service, ())
             )
             if agent.host in inquiry.unsure
         ]
-        if unsure_hosts:
-            inquiry.unsure.discard(unsure_hosts[0])
-            inquiry.offered_to = unsure_hosts[0]
-            self._state.board.expect_answer(unsure_hosts[0], now)
-            visited = [self._state.host]
-            offer = next_forward(frame, visited=visited, inquirer=self._state.host)
-            return [ToPeer(unsure_hosts[0], offer)]
-        if inquiry.unanswered_hosts or inquiry.unanswered_offers:
-            return []
-        self._inquiries.discard(segment.flow)
-        hops = sum(map(len, self._state.agents.values()))
-        return self._end_not_found(segment, hops, inquiry.all_restarted, now)
+        return sorted(ranked, key=lambda host: host != inquiry.named)
 
     def _end_not_found(
         self, segment: Segment, hops: int, others_restarted: bool | None, now: float
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -190,14 +190,13 @@
         return effects
 
     def sweep(self, now: float, max_flow_seconds: float) -> None:
-        """Remove expired flows, requests, locations, offers and inquiries."""
+        """Remove expired flows, requests, locations and offers."""
         self._state.flows.end_abandoned_requests(
             now, lambda key: self._state.table.route_of(key).timeout_seconds
         )
         self._state.flows.sweep(now, self._state.table.idle_seconds)
         self._locations.sweep(now, max_flow_seconds)
-        self._offers.sweep(now)
-        self._search.sweep(now)
+        self._offers.sweep(now, max_flow_seconds)
 
     def on_inquiry(self, host: str, flows: list[bytes]) -> list[PassthroughEffect]:
         """Answer an agent that searches for the owners of flows."""
@@ -209,6 +208,15 @@
         """Handle the answer of an agent to an inquiry."""
         return self._search.on_findings(host, findings, now)
 
+    @property
+    def is_searching(self) -> bool:
+        """Tell whether owners of flows are being searched for."""
+        return self._search.is_searching
+
+    def continue_searches(self, now: float) -> list[PassthroughEffect]:
+        """Ask silent agents again, and go on without those that do not answer."""
+        return self._search.continue_searches(now)
+
     def pop_queued_frames(self) -> list[PassthroughEffect]:
         """Remove and return the queued inquiries, and registrations near by."""
         registrations = self._locations.pop_registrations()
@@ -263,7 +271,12 @@
             self._register(segment.flow, flow)
         if frame is None:
             return []
-        return [ToPeer(frame.origin, Owned(segment.flow, self._state.load_report(now)))]
+        owned = Owned(segment.flow, self._state.load_report(now))
+        effects: list[PassthroughEffect] = [ToPeer(frame.origin, owned)]
+        if frame.inquirer:
+            held = Findings([(segment.flow, self._state.host)], [], [])
+            effects.append(ToPeer(frame.inquirer, held))
+        return effects
 
     def _on_returned(self, segment: Segment, now: float) -> list[PassthroughEffect]:
         offer = self._offers.pop(segment.tag)
@@ -274,6 +287,7 @@
         if not segment.opening:
             if flow is not None and flow.owns(original):
                 return []
+            self._offers.record_returned(segment.flow, now)
             return self._search.on_not_held(frame, original, now)
         if flow is not None and flow.state is FlowState.HALF_OPEN:
             self._state.flows.drop(segment.flow)
--- a/src/berylturn/connection/passthrough_openings.py
+++ b/src/berylturn/connection/passthrough_openings.py
@@ -158,6 +158,7 @@
     def _admit(
         self, frame: Forward, segment: Segment, now: float, arrived_at: float
     ) -> list[PassthroughEffect]:
+        self._offers.forget_returned(segment.flow)
         self._state.flows.admit(segment, now)
         self._state.gate.admit(segment.flow, now)
         self._state.log_decision(
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -47,6 +47,8 @@
 SIBLING_REPORT_SECONDS = 0.1
 # Interval between checks of the queued openings.
 QUEUE_CHECK_SECONDS = 0.03
+# Interval between checks of the searches for owners of flows.
+SEARCH_CHECK_SECONDS = 0.05
 # Maximum number of balancers that get load reports: those whose frames are newest.
 MAX_BALANCERS = 64
 # A balancer that sends nothing for this long gets no more load reports.
@@ -90,6 +92,7 @@
         self._batch_scheduled = False
         self._sibling_report_scheduled = False
         self._queue_timer: asyncio.TimerHandle | None = None
+        self._search_timer: asyncio.TimerHandle | None = None
 
     async def run(self, heartbeats: Handler, readiness: Handler) -> None:
         """Serve until SIGTERM."""
@@ -268,6 +271,11 @@
         if self._agent.queued and self._queue_timer is None:
             loop = asyncio.get_running_loop()
             self._queue_timer = loop.call_later(QUEUE_CHECK_SECONDS, self._admit_queued)
+        if self._agent.is_searching and self._search_timer is None:
+            loop = asyncio.get_running_loop()
+            self._search_timer = loop.call_later(
+                SEARCH_CHECK_SECONDS, self._continue_searches
+            )
         if self._agent.has_short_flows and not self._sibling_report_scheduled:
             self._sibling_report_scheduled = True
             loop = asyncio.get_running_loop()
@@ -281,6 +289,10 @@
         self._send_effects(self._agent.admit_queued(self._node.now()))
         self._send_load_if_changed()
 
+    def _continue_searches(self) -> None:
+        self._search_timer = None
+        self._send_effects(self._agent.continue_searches(self._node.now()))
+
     def _report_to_siblings(self) -> None:
         """Send siblings the load while each opening is a request.
 
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -37,6 +37,7 @@
 SERVICE = bytes([198, 18, 0, 1]) + (443).to_bytes(2, "big")
 START = 1000.0
 WARM_AT = START - 100.0
+CHECK_SECONDS = 0.05
 
 
 def caller_packet(
@@ -227,6 +228,21 @@
         """Stop an agent as at SIGTERM."""
         self._run_effects(name, self.agents[name].stop(self.now))
 
+    def advance(self, seconds: float) -> None:
+        """Let time pass, with the periodic checks of all agents that run."""
+        end = self.now + seconds
+        while self.now < end - CHECK_SECONDS / 2:
+            self.now += CHECK_SECONDS
+            for name, rules in self.agents.items():
+                if name not in self.down:
+                    effects = rules.continue_searches(self.now)
+                    self._run_effects(name, [*effects, *rules.pop_queued_frames()])
+
+    def register_remotely(self) -> None:
+        """Send all queued registrations to agents in other data centres."""
+        for name, rules in self.agents.items():
+            self._run_effects(name, rules.pop_remote_registrations())
+
     def report_load(self, balancer: str, name: str, busy: float) -> None:
         """Send a balancer the load of an agent's server."""
         load = LoadReport(True, busy, 0, 3, 0, [])
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -209,6 +209,61 @@
         self.assertEqual(ended, mesh.was_reset(flow))
 
 
+class TestRollingRestart(unittest.TestCase):
+    """Packets of an open flow must reach its server, not the others again and again.
+
+    Load pattern: agents are restarted one after the other, so that one is always away,
+    and callers send on flows of an agent that is away.
+    """
+
+    AGENTS = {f"{dc}1": (f"dc-{dc}", "desk") for dc in "abc"}
+    # Seconds after the first packet at which the caller sends copies.
+    COPIES = (0.0, 0.2, 0.6, 1.4)
+    # Times at which agents stop and start again, after the first packet.
+    RESTARTS = {"b1": (-1.1, -0.4), "a1": (-0.1, 0.7), "c1": (1.0, 1.7)}
+
+    @params(
+        ("known to another agent", True, RESTARTS),
+        ("known to none", False, RESTARTS),
+        ("owner back after all copies", False, {**RESTARTS, "a1": (-0.1, 1.5)}),
+        ("all restarted before", False, dict.fromkeys(["b1", "a1", "c1"], (-1, -0.5))),
+    )
+    def test_flow_of_an_agent_that_is_away(
+        self, _: str, registered: bool, restarts: dict[str, tuple[float, float]]
+    ) -> None:
+        mesh = Mesh(self.AGENTS, BALANCERS)
+        flow = flow_key(1)
+        self.assertEqual("a1", mesh.open_flow("front-a", flow))
+        if registered:
+            mesh.register_remotely()
+        mesh.now += 10.0
+        sent_at = mesh.now
+        changes = [(at, name, False) for name, (at, _end) in restarts.items()]
+        changes += [(at, name, True) for name, (_start, at) in restarts.items()]
+        changes += [(at, "", True) for at in self.COPIES]
+        received_before = {n: len(b.received_flows) for n, b in mesh.backends.items()}
+        answered_at = []
+        answers_before = len(mesh.to_caller)
+        for at, name, starts in [*sorted(changes), (2.0, "end", False)]:
+            mesh.advance(max(0.0, sent_at + at - mesh.now))
+            if len(mesh.to_caller) > answers_before:
+                answered_at.append(mesh.now - sent_at)
+                break
+            if not name:
+                mesh.send_request("front-b", flow, "a1")
+            elif name in mesh.agents:
+                mesh.down.discard(name) if starts else mesh.down.add(name)
+                if starts:
+                    mesh.start_agent(name)
+        self.assertTrue(answered_at)
+        self.assertFalse(mesh.was_reset(flow))
+        others = [
+            len(mesh.backends[name].received_flows) - received_before[name]
+            for name in ("b1", "c1")
+        ]
+        self.assertLessEqual(max(others), 1)
+
+
 class TestSeenStart(unittest.TestCase):
     """Flows must not be reset because an agent took its server for a younger one.
 
