Confirm a copy of the platform's objects by answers, not by an open watch

Callers saw (the users, with real processes on their machines): changes that the platform had confirmed were not in force within 3 s; requests were handled by an older configuration on all balancers for about 15 s.

Cause: something between the seeds and the platform kept their connections alive and delivered nothing on them. The kernel in between answers keep-alive probes, so a dead watch looked like one without a change until its own timeout of 20 s, and the seed confirmed to all others, at age 0, that its copy was current.

Ruled out: a refused configuration, one balancer that was behind (agents of all data centres were as old), a copy of a peer that went back (versions only rose), a platform that was down.

Change: a node that watches asks for the platform's revision once a second on a new connection (process.platform_check), reads what its copy lacks and ends a watch that has not delivered it by the next check. The age of a confirmation counts from the last answer. Seeds push their status to followers after each check. Writes, and lists after a time without calls, use new connections.

--- a/src/berylturn/platform/objects.py
+++ b/src/berylturn/platform/objects.py
@@ -27,6 +27,8 @@
 LOGGED_BYTES = 120
 # The platform replies within milliseconds, or within seconds while it is impaired.
 CALL_SECONDS = 3.0
+# A check that takes longer proves nothing; a slow platform replies within 0.4 s.
+CHECK_SECONDS = 0.6
 # Two seconds less than the shortest history of the platform's sites: after a longer
 # watch without a change, its revision may be gone, so that the next call is a list.
 # Keep-alive probes detect a dead connection earlier.
@@ -103,7 +105,10 @@
 
 
 class ObjectClient:
-    """Call the object API, with one connection for each kind and one for writes.
+    """Call the object API.
+
+    Each kind has a connection for its lists and watches; writes and checks have one
+    each.
 
     Parameters
     ----------
@@ -114,6 +119,7 @@
     def __init__(self, address: tuple[str, int]) -> None:
         self._watch_connections = {kind: HttpConnection(address) for kind in Kind}
         self._write_connection = HttpConnection(address)
+        self._check_connection = HttpConnection(address)
 
     async def list_objects(self, kind: Kind) -> tuple[int, list[StoredObject]]:
         """Return all objects of a kind and the revision at which they are complete."""
@@ -142,6 +148,27 @@
         response = await self._read(kind, query, WATCH_SECONDS)
         return decode_events(response.body)
 
+    async def read_revision(self) -> int:
+        """Return the platform's revision, by a call on a new connection."""
+        self._check_connection.close()
+        # Each list states the revision; this one is the shortest.
+        response = await self._check(f"/-/objects/{_KINDS[Kind.EVACUATIONS]}")
+        return decode_listing(response.body).at_revision
+
+    async def read_changes(
+        self, kind: Kind, revision: int
+    ) -> tuple[int, list[ObjectChange]]:
+        """Return the changes since a revision at once.
+
+        Raises `WatchExpired` if the revision is too old.
+        """
+        path = f"/-/objects/{_KINDS[kind]}?watch={revision}&wait_ms=0"
+        return decode_events((await self._check(path)).body)
+
+    def end_watch(self, kind: Kind) -> None:
+        """Close the connection of a watch, so that the watch fails."""
+        self._watch_connections[kind].close()
+
     async def put_object(
         self, kind: Kind, name: str, body: bytes, exists: bool
     ) -> None:
@@ -173,7 +200,16 @@
         _raise_for_status(response)
         return response
 
+    async def _check(self, path: str) -> HttpResponse:
+        response = await self._check_connection.request(
+            "GET", path, seconds=CHECK_SECONDS
+        )
+        _raise_for_status(response)
+        return response
+
     async def _write(self, method: str, path: str, body: bytes) -> None:
+        # Writes are rare, and a connection may have gone silent since the last one.
+        self._write_connection.close()
         _raise_for_status(
             await self._write_connection.request(
                 method, path, body, seconds=CALL_SECONDS
--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -50,6 +50,20 @@
     ) -> tuple[int, list[ObjectChange]]:
         """Wait for changes after a revision; raise `WatchExpired` if it is too old."""
 
+    async def read_revision(self) -> int:
+        """Return the platform's revision, by a call on a new connection."""
+
+    async def read_changes(
+        self, kind: Kind, revision: int
+    ) -> tuple[int, list[ObjectChange]]:
+        """Return the changes since a revision at once, like `watch_objects`.
+
+        The call uses the connection that `read_revision` has opened.
+        """
+
+    def end_watch(self, kind: Kind) -> None:
+        """Close the connection of a watch, so that the watch fails."""
+
     async def put_object(
         self, kind: Kind, name: str, body: bytes, exists: bool
     ) -> None:
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -124,6 +124,7 @@
         self.relay = ViewRelay(
             self.view, self.sync, self.send, position, self._list_seeds, clock
         )
+        self.sync.on_proved = self.relay.notify_followers
         self.list_known_peers: Callable[[], list[str]] = list
         self.on_settings_reloaded: Callable[[], None] = lambda: None
         # Returns the keys of the state page that only this kind of daemon has.
--- a/src/berylturn/process/view_relay.py
+++ b/src/berylturn/process/view_relay.py
@@ -153,14 +153,16 @@
         self._followers[host] = self._clock.monotonic()
         if len(self._followers) > MAX_FOLLOWERS:
             del self._followers[next(iter(self._followers))]
-        if self._sync.watches_directly or not is_known:
-            # Known followers get each status of this node's parent when it arrives.
+        if not is_known or frame.newest != self._view.newest:
+            # Others get each status of this node's parent when it arrives, or this
+            # node's own when the platform has confirmed its copy.
             self._send(host, self._status())
         self._sync.handle_peer_revisions(host, frame.newest)
 
     def _handle_status(self, host: str, status: ViewStatus) -> None:
         if status.confirmation_age_ms is not None:
-            self._last_status_at = self._clock.monotonic()
+            confirmed_at = self._clock.monotonic() - status.confirmation_age_ms / 1000
+            self._last_status_at = max(self._last_status_at, confirmed_at)
             parents = self.parents()
             if parents and host == parents[0]:
                 self._parent_index = 0
--- a/src/berylturn/process/view_sync.py
+++ b/src/berylturn/process/view_sync.py
@@ -14,6 +14,7 @@
 from .http_client import HttpConnection
 from .logs import log_event, log_warning
 from .object_view import KINDS, Kind, ObjectStore, ObjectView
+from .platform_check import PlatformCheck
 from .tasks import TaskGroup
 
 # Exponential backoff after a failed call, with jitter to spread the fleet's calls.
@@ -107,6 +108,11 @@
         self._platform_available = asyncio.Event()
         self._pulled_at = float("-inf")
         self._pulling = False
+        # Called when a check has confirmed this copy.
+        self.on_proved: Callable[[], None] = lambda: None
+        self._check = PlatformCheck(
+            view, store, clock, lambda: self.watches_directly, self._record_proof
+        )
 
     @property
     def watches_directly(self) -> bool:
@@ -121,9 +127,10 @@
     def confirmation_age_ms(self, now: float) -> int | None:
         """Return the age of the last confirmation of this copy in milliseconds.
 
-        A confirmation comes from a node that watches the platform and has the same
-        objects. Its age accumulates from node to node, so nodes that poll each other in
-        a cycle cannot keep a confirmation fresh.
+        A confirmation is an answer of the platform, or comes from a node that has one
+        and the same objects; an open watch alone confirms nothing. Its age accumulates
+        from node to node, so nodes that poll each other in a cycle cannot keep a
+        confirmation fresh.
 
         Parameters
         ----------
@@ -131,7 +138,7 @@
             Seconds on the monotonic clock.
         """
         if self.watches_directly:
-            return 0
+            return int(1000 * (now - self._check.proved_at))
         if not self.connected:
             return None
         return int(1000 * (now - self._confirmed_at))
@@ -154,6 +161,7 @@
         for kind in KINDS:
             self._tasks.start(partial(self._follow, kind), f"follow_{kind}")
         self._tasks.start(self._poll_peers, "ask_peers")
+        self._tasks.start(self._check.run, "check_platform")
 
     def handle_peer_status(self, host: str, status: Probe | ViewStatus) -> None:
         """Compare this copy with that of a balancer or parent; pull if it may be newer.
@@ -224,6 +232,8 @@
                     continue
                 if was_relayed:
                     self._log_relay_change("platform_followed_again", kind)
+                    # An idle connection may have gone silent meanwhile.
+                    self._store.end_watch(kind)
                 was_relayed = False
                 if not is_listed:
                     revision, objects = await self._store.list_objects(kind)
@@ -239,6 +249,7 @@
                         continue
                 from_revision = self._view.snapshots[kind].at_revision
                 watch_started_at = self._clock.monotonic()
+                self._check.on_watch_started(kind)
                 revision, changes = await self._store.watch_objects(kind, from_revision)
                 self._view.apply(kind, revision, changes)
                 self._record_answer(kind)
@@ -249,9 +260,11 @@
                     await asyncio.sleep(batch_delay)
                     batch_delay = min(2 * batch_delay, MAX_BATCH_DELAY_SECONDS[kind])
             except WatchExpired:
+                self._check.on_watch_failed(kind)
                 log_event("watch_expired", kind=kind, revision=from_revision)
                 is_listed = False
             except PlatformError as error:
+                self._check.on_watch_failed(kind)
                 if outage_started_at is None:
                     outage_started_at = self._clock.monotonic()
                     self._watched_kinds.discard(kind)
@@ -283,7 +296,13 @@
             self._retrying_kind = None
             self._platform_available.set()
 
+    def _record_proof(self) -> None:
+        """Record that a check has found all kinds current."""
+        self._agents_confirmed_at = self._check.proved_at
+        self.on_proved()
+
     def _record_answer(self, kind: Kind) -> None:
+        self._check.on_answer(kind)
         if kind is Kind.AGENTS:
             self._agents_confirmed_at = self._clock.monotonic()
             self._record_directory_read()
--- a/src/berylturn_standins/objects.py
+++ b/src/berylturn_standins/objects.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -50,7 +50,10 @@
     def __init__(self, addresses: list[tuple[str, int]]) -> None:
         self._addresses = addresses
         self.faults = PlatformFaults()
-        self.calls = 0
+        # Calls by what they do ("watch" if they wait, "read" or "write"), and by the
+        # address that was called.
+        self.calls: Counter[str] = Counter()
+        self.calls_by_host: Counter[str] = Counter()
         # Watches that wait for a change.
         self.open_watches = 0
         # Calls that failed because of `faults.mode`.
@@ -123,12 +126,13 @@
             self._changed.notify_all()
 
     async def _handle(self, request: web.Request) -> web.Response:
-        self.calls += 1
+        local_host = request.transport.get_extra_info("sockname")[0]
+        self.calls[_classify_call(request)] += 1
+        self.calls_by_host[local_host] += 1
         if self._is_over_rate_limit():
             self.rate_limited_calls += 1
             return web.Response(status=429)
         faults = self.faults
-        local_host = request.transport.get_extra_info("sockname")[0]
         if faults.mode and (not faults.hosts or local_host in faults.hosts):
             self.failed_calls += 1
             return await self._fail(request, faults.mode)
@@ -226,6 +230,12 @@
         return _json_response(objects[name])
 
 
+def _classify_call(request: web.Request) -> str:
+    if request.method != "GET":
+        return "write"
+    return "watch" if int(request.query.get("wait_ms", "0")) else "read"
+
+
 def _json_response(body: Any, status: int = 200) -> web.Response:
     # msgspec also writes a `msgspec.Raw`, such as a text that is nested too deeply.
     data = msgspec.json.encode(body)
--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -7,6 +7,7 @@
 import json
 import signal
 import unittest
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 from nose2.tools import params
@@ -23,6 +24,8 @@
     "side-r1": ("dc-a", "room"),
 }
 FLOWS = 12
+# Time within which a configuration is in force on every daemon.
+CONFIGURATION_SECONDS = 3.0
 
 
 def run_async(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
@@ -83,9 +86,27 @@
         )
 
 
+class CallCounts:
+    """Counts of the platform's calls at one time."""
+
+    def __init__(self, deployment: OpaqueDeployment) -> None:
+        self.calls = Counter(deployment.platform.calls)
+        self.by_host = Counter(deployment.platform.calls_by_host)
+
+
 class TestDaemons(unittest.TestCase):
     """Flows and traffic while processes, the platform or settings change."""
 
+    def assert_seeds_called_once(
+        self, deployment: OpaqueDeployment, before: CallCounts
+    ) -> None:
+        """Check that a change has cost a watch of each seed, and only seeds' checks."""
+        counts = CallCounts(deployment)
+        calls = counts.calls - before.calls
+        self.assertEqual((len(BALANCERS), 0), (calls["watch"], calls["write"]))
+        seeds = {deployment.platform_hosts[name] for name in BALANCERS}
+        self.assertLessEqual((counts.by_host - before.by_host).keys(), seeds)
+
     @params(
         ("balancer stopped", "front-a", signal.SIGTERM, False),
         ("balancer killed", "front-a", signal.SIGKILL, True),
@@ -258,13 +279,13 @@
         async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
             platform = deployment.platform
             await wait_until_only_seeds_watch(deployment)
-            before = platform.calls
+            before = CallCounts(deployment)
             await platform.put("evacuations", "dc-a", {})
             await wait_until_evacuated(deployment, "dc-a")
             await deployment.wait_until(
                 lambda: platform.open_watches == 3 * len(BALANCERS)
             )
-            self.assertEqual(len(BALANCERS), platform.calls - before)
+            self.assert_seeds_called_once(deployment, before)
 
     @run_async
     async def test_agents_relay_changes_from_seeds(self) -> None:
@@ -282,13 +303,13 @@
                 name for name in agents if read_relays(deployment.read_log(name))
             ]
             self.assertEqual(2, len(followers))
-            before = platform.calls
+            before = CallCounts(deployment)
             await platform.put("evacuations", "dc-b", {})
             await wait_until_evacuated(deployment, "dc-b")
             await deployment.wait_until(
                 lambda: platform.open_watches == 3 * len(BALANCERS), 60
             )
-            self.assertEqual(len(BALANCERS), platform.calls - before)
+            self.assert_seeds_called_once(deployment, before)
             for name in set(agents) - set(followers):
                 # The agents that asked this agent now ask the seeds.
                 await deployment.stop(name, signal.SIGKILL)
@@ -341,6 +362,23 @@
                     lambda n=name: '"out":["dc-a"]' in deployment.read_log(n)
                 )
 
+    @run_async
+    async def test_change_while_watches_deliver_nothing(self) -> None:
+        # What is between the seeds and the platform keeps their connections alive and
+        # delivers nothing on them, so that only a timeout of their own shows it.
+        async with OpaqueDeployment(BALANCERS, AGENTS, proxied=True) as deployment:
+            await wait_until_only_seeds_watch(deployment)
+            for proxy in deployment.platform_proxies.values():
+                proxy.silence_connections()
+            loop = asyncio.get_running_loop()
+            written_at = loop.time()
+            await deployment.configure(7, room=1.0)
+            for name in deployment.hosts:
+                await deployment.wait_until(
+                    lambda n=name: '"version":7' in deployment.read_log(n)
+                )
+            self.assertLess(loop.time() - written_at, CONFIGURATION_SECONDS)
+
     @run_async
     async def test_calls_stay_within_platform_rate_limit(self) -> None:
         async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
--- a/tests/test_view_sync.py
+++ b/tests/test_view_sync.py
@@ -52,6 +52,14 @@
         await asyncio.Event().wait()
         return revision, []
 
+    async def read_revision(self) -> int:
+        if not self.served.is_set():
+            raise PlatformUnavailable("the platform answers 503; try again later")
+        return 7
+
+    def end_watch(self, kind: Kind) -> None:
+        pass
+
 
 class FakeClock:
     """A clock that a test sets."""
@@ -125,6 +133,28 @@
         self.assertEqual(complete, asyncio.run(run()))
 
 
+class TestConfirmationAge(unittest.TestCase):
+    """A node confirms its copy to others by answers, not by a watch that is open."""
+
+    def test_age_counts_from_the_last_answer(self) -> None:
+        async def run() -> list[int | None]:
+            store, tasks, clock = FailingStore(), TaskGroup(), FakeClock()
+            store.served.set()
+            view = ObjectView(lambda kind: None)
+            sync = ViewSync(view, store, tasks, clock, PEER_PORT, list)
+            sync.start()
+            async with asyncio.timeout(DEADLINE_SECONDS):
+                while not sync.watches_directly:
+                    await asyncio.sleep(0.01)
+            ages = [sync.confirmation_age_ms(clock.now)]
+            # The watches wait, and nothing else is heard of the platform.
+            ages.append(sync.confirmation_age_ms(clock.now + 5.0))
+            await tasks.cancel_all()
+            return ages
+
+        self.assertEqual([0, 5000], asyncio.run(run()))
+
+
 class TestRelay(unittest.TestCase):
     """Do not watch kinds that a peer with a watch confirms.
 
