Believe no first report that may be late, and refuse those of another service

Cause: an agent believed any first report from its server's address. Nothing contradicted it, as the settings did not name the service, which the platform fills in.

Change: what is concluded from reports is decided in connection.backend_reports alone and written at its head. opaque_backend.service names the service; reports of another one are refused. Until a second report, half an interval later or more, a first report of a start before this process leaves the server cold, and without that key counts as none. A settings value that is still a placeholder of the template counts as missing, so a filler that does not know a key gets the message for a missing one.

--- a/src/berylturn/connection/backend_reports.py
+++ b/src/berylturn/connection/backend_reports.py
@@ -1,10 +1,16 @@
 """What an agent concludes from the reports of the backend server beside it.
 
 Load pattern: agents are restarted in turn while their servers go on, a data centre is
-evacuated and its servers become cold without a restart, and reports arrive late.
+evacuated and its servers become cold without a restart, and a report that was held up
+arrives after its sender has crashed and another server has its address.
 
-An agent that saw the server start knows each of its flows, and it resets what is not in
-its table. So a start counts as seen only if every statement about it agrees:
+Whose report it is: the address must be that of the own server, and so must the service
+where the settings name it. Between the starts at one address, the later one is the
+server that runs now; reports of an earlier one count only after the later one has been
+silent, as a clock may have been set back.
+
+Whether this process saw the start: an agent that did knows each flow of the server, and
+it resets what is not in its table. So every statement about the start must agree:
 
 - The time of the start that the server reports is not before the start of this process.
   Both read the clock of one host.
@@ -15,6 +21,12 @@
 
 A start that was seen in error is never taken back and costs flows; one that was missed
 costs only offers to the own server.
+
+What is believed until a second report has come: a first report of a start before this
+process may be a late one. A report that was held up comes alone or in a burst, so the
+second one counts if it comes at least half an interval later. Until then the server
+counts as cold, and where the settings name no service, as not having reported at all.
+Draining is believed at once, as it only closes the gate.
 """
 
 from __future__ import annotations
@@ -31,6 +43,8 @@
 # with an earlier start time are accepted: a server whose clock was set back restarts
 # with an earlier one.
 STALE_REPORT_SECONDS = 2.5
+# Report intervals between the first report of a start and one that confirms it.
+CONFIRMING_INTERVALS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +81,26 @@
     cold_seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class OwnServer:
+    """The backend server beside this agent, by the settings.
+
+    Attributes
+    ----------
+    address : str
+        Where it receives packets, as ``IP:PORT``.
+    service : str or None
+        Service that it belongs to; None if the settings do not name it.
+    """
+
+    address: str
+    service: str | None
+
+    def is_sender_of(self, report: BackendReport) -> bool:
+        """Tell whether a report may be of this server."""
+        return report.address == self.address and self.service in (None, report.service)
+
+
 @dataclass(frozen=True, slots=True)
 class ProcessStart:
     """Start of this process.
@@ -97,6 +131,9 @@
         self._newest: BackendReport | None = None
         self._arrived_at = process.at
         self._conflicting: BackendReport | None = None
+        # Arrival of the first report of the newest start.
+        self._first_arrived_at = process.at
+        self._confirmed = False
         self._saw_start = False
         self._started_together = False
 
@@ -110,6 +147,11 @@
         """Return when the newest report arrived, on the monotonic clock."""
         return self._arrived_at
 
+    @property
+    def confirmed(self) -> bool:
+        """Tell whether the newest report is certainly of the server that runs now."""
+        return self._confirmed
+
     @property
     def saw_start(self) -> bool:
         """Tell whether the backend server started during this process."""
@@ -121,7 +163,11 @@
         return self._started_together
 
     def record(
-        self, report: BackendReport, cold_start_seconds: float, now: float
+        self,
+        report: BackendReport,
+        cold_start_seconds: float,
+        report_seconds: float,
+        now: float,
     ) -> bool:
         """Store a report if it is the newest; return whether it was stored.
 
@@ -131,6 +177,8 @@
             The report.
         cold_start_seconds : float
             Length of the service's cold start.
+        report_seconds : float
+            Interval between two reports.
         now : float
             Seconds on the monotonic clock.
         """
@@ -141,6 +189,13 @@
         self._arrived_at = now
         self._conflicting = None
         restarted = previous is not None and report.started_ms != previous.started_ms
+        if previous is None or restarted:
+            self._first_arrived_at = now
+            self._confirmed = self._began_later_by_clock(
+                report, INTERPRETER_START_SECONDS
+            )
+        elif now - self._first_arrived_at >= CONFIRMING_INTERVALS * report_seconds:
+            self._confirmed = True
         if restarted or report.cold_seconds > 0:
             seconds_since_start = cold_start_seconds - report.cold_seconds
             earliest = now - seconds_since_start
@@ -166,9 +221,12 @@
         margin : float
             Seconds by which it may have started before this process.
         """
-        by_clock = report.started_ms + 1000 * margin >= self._process.unix_ms
+        by_clock = self._began_later_by_clock(report, margin)
         return by_clock and started_at + margin > self._process.at
 
+    def _began_later_by_clock(self, report: BackendReport, margin: float) -> bool:
+        return report.started_ms + 1000 * margin >= self._process.unix_ms
+
     def _is_newer(
         self, report: BackendReport, newest: BackendReport, now: float
     ) -> bool:
--- a/src/berylturn/connection/opening_gate.py
+++ b/src/berylturn/connection/opening_gate.py
@@ -72,6 +72,7 @@
         self._reports = BackendReports(process)
         self._limits = ServiceLimits()
         self._admission_gate = AdmissionGate(Limits(flow_rate=UNLIMITED_FLOW_RATE), now)
+        self._service_known = False
         self._deregistered = False
         self._evacuated = False
         self._cold_until = now
@@ -83,8 +84,12 @@
 
     @property
     def report(self) -> BackendReport | None:
-        """Return the newest report, or None without one or after deregistration."""
-        return None if self._deregistered else self._reports.newest
+        """Return the newest report, or None without a believed one.
+
+        There is none after a deregistration either.
+        """
+        is_believed = self._reports.confirmed or self._service_known
+        return self._reports.newest if is_believed and not self._deregistered else None
 
     @property
     def has_left(self) -> bool:
@@ -118,10 +123,26 @@
         """Return when the newest report arrived, on the monotonic clock."""
         return self._reports.arrived_at
 
-    def record_report(self, report: BackendReport, now: float) -> bool:
-        """Store a report if it is the newest; return whether the server restarted."""
+    def record_report(
+        self, report: BackendReport, now: float, service_known: bool = True
+    ) -> bool:
+        """Store a report if it is the newest; return whether the server restarted.
+
+        Parameters
+        ----------
+        report : BackendReport
+            The report.
+        now : float
+            Seconds on the monotonic clock.
+        service_known : bool
+            Whether the settings name the service of the report. If not, the gate stays
+            closed until the report is confirmed.
+        """
         current = self._reports.newest
-        if not self._reports.record(report, self._limits.cold_seconds, now):
+        self._service_known = service_known
+        if not self._reports.record(
+            report, self._limits.cold_seconds, self._bounds.report_seconds, now
+        ):
             if report.started_ms != current.started_ms:
                 self._assume_cold(report.cold_seconds, now)
             return False
@@ -129,7 +150,9 @@
         self._deregistered = False
         self._unanswered.clear()
         self._assume_cold(report.cold_seconds, now)
-        if report.cold_seconds <= 0 and not restarted:
+        if not self._reports.confirmed:
+            self._assume_cold(self._limits.cold_seconds, now)
+        elif report.cold_seconds <= 0 and not restarted:
             self._cold_until = min(self._cold_until, max(now, self._return_cold_until))
         self._admission_gate.draining = report.draining
         if self._admission_gate.server_down and not self._is_stale(
@@ -147,8 +170,8 @@
         return True
 
     def is_current(self, report: BackendReport) -> bool:
-        """Tell whether a report is of the server start that the gate uses now."""
-        current = self.report
+        """Tell whether a report is of the newest start; it need not be believed yet."""
+        current = None if self._deregistered else self._reports.newest
         return current is not None and current.started_ms == report.started_ms
 
     def on_flow_lost(self, now: float) -> None:
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from ..clock import epoch_milliseconds
-from ..connection.backend_reports import BackendReport, ProcessStart
+from ..connection.backend_reports import BackendReport, OwnServer, ProcessStart
 from ..connection.load_board import LoadBoard
 from ..connection.opening_gate import GateBounds, OpeningGate
 from ..connection.passthrough import PassthroughAgent
@@ -129,13 +129,21 @@
     def on_heartbeat(self, report: BackendReport) -> bool:
         """Handle a heartbeat; return whether to acknowledge it."""
         node = self._node
-        host, port = node.settings.opaque_backend.address
-        if report.address != f"{host}:{port}":
-            log_warning("heartbeat_of_other", id=report.identifier, at=report.address)
+        own = self._own_server
+        if not own.is_sender_of(report):
+            log_warning(
+                "heartbeat_of_other",
+                id=report.identifier,
+                at=report.address,
+                service=report.service,
+                own_service=own.service,
+            )
             return False
         before = self._gate.report
         self._set_limits(report.service)
-        restarted = self._gate.record_report(report, node.now())
+        restarted = self._gate.record_report(
+            report, node.now(), service_known=own.service is not None
+        )
         current = self._gate.report
         if current is not None and (
             before is None or _has_state_changed(before, current)
@@ -165,6 +173,12 @@
             self._send_load_if_changed()
         return True
 
+    @property
+    def _own_server(self) -> OwnServer:
+        section = self._node.settings.opaque_backend
+        host, port = section.address
+        return OwnServer(f"{host}:{port}", section.service or None)
+
     def _apply_backend_state(self, report: BackendReport, restarted: bool) -> None:
         node = self._node
         log_event(
--- a/src/berylturn/process/settings.py
+++ b/src/berylturn/process/settings.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import configparser
+import re
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
@@ -239,6 +240,10 @@
         timedelta,
         Meta(description="longest expected flow; an older one may be forgotten"),
     ] = timedelta(seconds=60)
+    service: Annotated[
+        str,
+        Meta(description="service of the backend server; unknown if empty"),
+    ] = ""
 
 
 class BalancerSettings(_Section):
@@ -301,7 +306,11 @@
 
 
 def read_sections(path: str) -> dict[str, dict[str, str]]:
-    """Return the sections of an INI file with their values as text."""
+    """Return the sections of an INI file with their values as text.
+
+    A key whose value is a placeholder that the template's filler did not know counts as
+    missing.
+    """
     parser = configparser.ConfigParser(interpolation=None)
     try:
         parser.read_string(Path(path).read_text(encoding="utf-8"), source=path)
@@ -311,7 +320,14 @@
         raise SettingsError(
             f"{path} is not INI text; correct it: {error.message}"
         ) from error
-    return {name: dict(parser[name]) for name in parser.sections()}
+    return {
+        name: {
+            key: value
+            for key, value in parser[name].items()
+            if not _UNFILLED_PLACEHOLDER.fullmatch(value)
+        }
+        for name in parser.sections()
+    }
 
 
 def choose_settings_model(sections: dict[str, dict[str, str]]) -> type[Any]:
@@ -368,6 +384,8 @@
         raise ValueError(f"{text!r} is not a time; write 250ms, 2s or 5m") from None
 
 
+_UNFILLED_PLACEHOLDER = re.compile(r"\{\{.*\}\}")
+
 _PARSERS: dict[Any, Callable[[str], Any]] = {
     Address: parse_address,
     Address | None: parse_address,
--- a/src/berylturn/process/settings_file.py
+++ b/src/berylturn/process/settings_file.py
@@ -21,6 +21,7 @@
         ("opaque_backend", "cold_factor"),
         ("opaque_backend", "cold_slack"),
         ("opaque_backend", "longest_flow"),
+        ("opaque_backend", "service"),
     }
 )
 
--- a/src/berylturn_standins/opaque_deployment.py
+++ b/src/berylturn_standins/opaque_deployment.py
@@ -330,5 +330,6 @@
                 f"heartbeat = {int(HEARTBEAT_SECONDS * 1000)}ms",
                 "cold_factor = 1.5",
                 "cold_slack = 5",
+                f"service = {self.agents[name][1]}",
             ]
         return "\n".join(lines) + "\n"
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -199,7 +199,13 @@
             directory.add(entry)
         return directory
 
-    def report(self, name: str, started_ms: int = 1, **changes: object) -> bool:
+    def report(
+        self,
+        name: str,
+        started_ms: int = 1,
+        service_known: bool = True,
+        **changes: object,
+    ) -> bool:
         """Send a backend server's report to its agent; return whether it restarted."""
         entry = next(entry for entry in self.entries if entry.name == name)
         values = {
@@ -215,7 +221,9 @@
         }
         values.update(changes)
         self.agents[name].set_slots(values["slots"])
-        restarted = self.gates[name].record_report(BackendReport(**values), self.now)
+        restarted = self.gates[name].record_report(
+            BackendReport(**values), self.now, service_known
+        )
         if restarted:
             self._run_effects(name, self.agents[name].on_backend_restarted())
         return restarted
--- a/tests/test_border.py
+++ b/tests/test_border.py
@@ -194,6 +194,7 @@
     @params(
         (("[node]", "[node]\ncolour = red"), "node.colour: unknown key; remove it"),
         (("data_centre = patan-hall", ""), "node.data_centre: missing; add it"),
+        (("patan-hall", "{{zone}}"), "node.data_centre: missing; add it"),
         (("127.0.0.1:1", "nowhere"), "not IP:PORT"),
         (("4\n", "4\ntimeout = 5 parsecs\n"), "write 250ms, 2s or 5m"),
         (("[node]", "node]"), "not INI"),
@@ -202,6 +203,10 @@
         with self.assertRaisesRegex(SettingsError, remedy):
             self.read_text(BALANCER_INI.replace(*change))
 
+    def test_unfilled_placeholder_of_an_optional_key(self):
+        text = BALANCER_INI + "[metrics]\nlisten = {{listen_addresses.metrics}}\n"
+        self.assertIsNone(self.read_text(text).metrics.listen)
+
     def test_missing_file(self):
         with self.assertRaisesRegex(SettingsError, "check the path"):
             read_settings("no/such/file.ini", AgentSettings)
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -6,6 +6,7 @@
 
 from nose2.tools import params
 
+from berylturn.connection.backend_reports import BackendReport, OwnServer
 from berylturn.connection.peer_frames import Load, LoadReport
 from berylturn.connection.segments import describe_flow
 from berylturn.errors import PacketError
@@ -279,6 +280,8 @@
         # A late report of the crashed predecessor comes before the first of the server.
         ("late report of its predecessor", [(1, 0.0), (2, 0.0)], False),
         ("late report, then a cold one", [(1, 0.0), (2, 1.9)], False),
+        # Without a configuration the gate takes the cold start for 2 s long.
+        ("colder than the default", [(1, 5.5)], False),
         ("restarted after the agent", [(1, 0.0), (6_000, 1.9)], True),
         ("started after the agent", [(6_000, 1.9)], True),
     )
@@ -303,6 +306,75 @@
         self.assertEqual((not is_new, is_new), (answered, mesh.was_reset(flow)))
 
 
+class TestLateReports(unittest.TestCase):
+    """A late report must not open the gate for what the server beside does not bear.
+
+    Load pattern: a report that a partition held up reaches an agent that has just
+    started, before the first one of the server that has the address now.
+    """
+
+    AGENT_STARTED_MS = 5_000
+
+    @params(
+        ("one report", False, [(0.1, 1, {})], "no_report", True),
+        (
+            "a burst of late reports",
+            False,
+            [(0.1, 1, {}), (0.1, 1, {})],
+            "no_report",
+            True,
+        ),
+        ("two at an interval", False, [(0.1, 1, {}), (1.2, 1, {})], None, False),
+        ("started after the agent", False, [(0.1, 6_000, {})], None, False),
+        ("service named", True, [(0.1, 1, {})], None, True),
+        ("service named, two", True, [(0.1, 1, {}), (1.2, 1, {})], None, False),
+        (
+            "warm, then the cold successor",
+            True,
+            [(0.1, 1, {}), (0.2, 2, {"cold_seconds": 1.9}), (0.1, 2, {})],
+            None,
+            True,
+        ),
+        (
+            "ready, then draining",
+            True,
+            [(0.1, 1, {}), (0.1, 1, {"draining": True})],
+            "draining",
+            True,
+        ),
+    )
+    def test_first_reports(
+        self,
+        _: str,
+        service_known: bool,
+        reports: list[tuple[float, int, dict]],
+        refusal: str | None,
+        cold: bool,
+    ) -> None:
+        mesh = Mesh({"a1": ("dc-a", "desk")}, {})
+        mesh.start_agent("a1", reported=False, unix_ms=self.AGENT_STARTED_MS)
+        mesh.now += 2.0
+        for after, started_ms, changes in reports:
+            mesh.now += after
+            mesh.report("a1", started_ms, service_known, **changes)
+        gate = mesh.gates["a1"]
+        self.assertEqual(
+            (refusal, cold), (gate.refusal("desk", mesh.now), gate.is_cold(mesh.now))
+        )
+
+    @params(
+        ("own", "a1:1", "desk", True),
+        ("service not named", "a1:1", None, True),
+        ("of another service", "a1:1", "room", False),
+        ("at another address", "a1:2", "desk", False),
+    )
+    def test_sender(
+        self, _: str, address: str, service: str | None, accepted: bool
+    ) -> None:
+        report = BackendReport("i", 1, 1, "desk", "dc-a", "a1:1", 3, False, 0.0)
+        self.assertEqual(accepted, OwnServer(address, service).is_sender_of(report))
+
+
 class TestStartingBalancer(unittest.TestCase):
     """Packets must be served that arrive before a balancer has routes and agents."""
 
--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -239,6 +239,20 @@
             await open_flows(deployment)
             self.assertEqual(FLOWS, len(deployment.backends["side-b1"].opened))
 
+    @run_async
+    async def test_report_of_another_service_is_refused(self) -> None:
+        # The address of a lost server may go to a server of another service, and a
+        # late report of the lost one may arrive.
+        async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
+            backend = deployment.backends["side-r1"]
+            backend.service = "desk"
+            self.assertFalse(await backend.send_heartbeat(deployment.http))
+            await open_flows(deployment)
+            self.assertEqual(0, len(backend.opened))
+            await deployment.wait_until(
+                lambda: '"heartbeat_of_other"' in deployment.read_log("side-r1")
+            )
+
     @run_async
     async def test_lost_entry_is_restored(self) -> None:
         async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
