Take a server for gone only if it had drained before it deregistered

Found by test, on a question that the review left open: a DELETE names an identifier and no start, and a server may start again under the identifier that it had.

Callers would have seen: resets of open flows that the server held, after a DELETE that came late, where the agent had been restarted. The server's entry left the directory as well.

Cause: deregister compared the identifier alone, and a server that has left counts as one whose flows are all in the agent's table.

Ruled out: comparing the start (a DELETE has no body).

Change: a server has left only if its newest report said that it was draining, as a planned shutdown does first. After any other DELETE the gate is closed until the next report, and the flows and the entry stay. backend_left says which it was.

--- a/src/berylturn/connection/backend_reports.py
+++ b/src/berylturn/connection/backend_reports.py
@@ -7,7 +7,8 @@
 Whose report it is: the address must be that of the own server, and so must the service
 where the settings name it. Between the starts at one address, the later one is the
 server that runs now; reports of an earlier one count only after the later one has been
-silent, as a clock may have been set back.
+silent, as a clock may have been set back. A deregistration states no start, so it ends
+a server only if that had reported that it was draining.
 
 Whether this process saw the start: an agent that did knows each flow of the server, and
 it resets what is not in its table. So every statement about the start must agree:
--- a/src/berylturn/connection/opening_gate.py
+++ b/src/berylturn/connection/opening_gate.py
@@ -93,8 +93,13 @@
 
     @property
     def has_left(self) -> bool:
-        """Tell whether the backend server has deregistered."""
-        return self._deregistered
+        """Tell whether the backend server has deregistered after draining.
+
+        A deregistration of a server that does not drain may be a late one, sent before
+        a restart under the same identifier.
+        """
+        newest = self._reports.newest
+        return self._deregistered and newest is not None and newest.draining
 
     @property
     def saw_start(self) -> bool:
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -167,9 +167,11 @@
     def on_deregistration(self, identifier: str) -> bool:
         """Handle a deregistration; return whether to acknowledge it."""
         is_current = self._gate.deregister(identifier)
-        log_event("backend_left", id=identifier, known=is_current)
-        if is_current:
+        has_left = self._gate.has_left
+        log_event("backend_left", id=identifier, known=is_current, left=has_left)
+        if is_current and has_left:
             self._entry_writer.set_entry(None)
+        if is_current:
             self._send_load_if_changed()
         return True
 
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -374,6 +374,25 @@
         report = BackendReport("i", 1, 1, "desk", "dc-a", "a1:1", 3, False, 0.0)
         self.assertEqual(accepted, OwnServer(address, service).is_sender_of(report))
 
+    @params(("it was draining", True), ("late, sent before its restart", False))
+    def test_deregistration(self, _: str, draining: bool) -> None:
+        mesh = Mesh(SEVEN_AGENTS, BALANCERS)
+        flow = flow_key(1)
+        owner = mesh.open_flow("front-a", flow)
+        for name in SEVEN_AGENTS:
+            mesh.start_agent(name)
+        mesh.start_balancer("front-a", "dc-a")
+        mesh.report(owner, draining=draining)
+        gate = mesh.gates[owner]
+        self.assertTrue(gate.deregister(f"i-{owner}"))
+        self.assertEqual("no_report", gate.refusal("desk", mesh.now))
+        self.assertEqual(draining, gate.has_left)
+        answered = mesh.send_request("front-a", flow, owner)
+        self.assertEqual(not draining, answered)
+        self.assertEqual(draining, mesh.was_reset(flow))
+        mesh.report(owner)
+        self.assertIsNone(gate.refusal("desk", mesh.now))
+
 
 class TestStartingBalancer(unittest.TestCase):
     """Packets must be served that arrive before a balancer has routes and agents."""
