Offer a packet to the own server too before its flow is called lost

An agent that named the searching agent itself counted as silent.

Change: the own server is offered the packet before the search ends, unless it cannot hold the flow; an agent that names the searching one has answered.

--- a/src/berylturn/connection/flow_search.py
+++ b/src/berylturn/connection/flow_search.py
@@ -67,10 +67,9 @@
                 return self._search(frame, segment, owner, now)
             if self._state.host in frame.visited:
                 return []
-        if self._has_complete_table() or self._offers.was_returned(segment.flow):
+        if self._cannot_be_held(segment.flow):
             return self.on_not_held(frame, segment, now)
-        tag = self._offers.add(frame, segment, now)
-        return [ToBackend(self._state.codec.write_tag(segment.data, tag))]
+        return self._offer_own_server(frame, segment, now)
 
     def on_not_held(
         self, frame: Forward, segment: Segment, now: float
@@ -122,9 +121,7 @@
                 findings.held.append((key, self._state.host))
             elif owner is not None and owner != host:
                 findings.held.append((key, owner))
-            elif flow is None and (
-                self._has_complete_table() or self._offers.was_returned(key)
-            ):
+            elif flow is None and self._cannot_be_held(key):
                 findings.absent.append(key)
             else:
                 findings.unsure.append(key)
@@ -153,9 +150,17 @@
             ToPeer(host, Inquiry(keys)) for host, keys in self._inquiries.pop_unsent()
         ]
 
-    def _has_complete_table(self) -> bool:
-        """Tell whether every flow of the own backend server is in the table."""
-        return self._state.gate.has_left or self._state.gate.saw_start
+    def _cannot_be_held(self, flow: bytes) -> bool:
+        """Tell whether the own server certainly does not hold an unknown flow."""
+        gate = self._state.gate
+        has_complete_table = gate.has_left or gate.saw_start
+        return has_complete_table or self._offers.was_returned(flow)
+
+    def _offer_own_server(
+        self, frame: Forward, segment: Segment, now: float
+    ) -> list[PassthroughEffect]:
+        tag = self._offers.add(frame, segment, now)
+        return [ToBackend(self._state.codec.write_tag(segment.data, tag))]
 
     def _forward_to_owner(
         self, frame: Forward, owner: str, now: float
@@ -199,15 +204,17 @@
         only its own answer ends the search.
         """
         inquiry = self._inquiries.get(flow)
-        if inquiry is None or owner == self._state.host:
+        if inquiry is None:
             return []
-        if owner == host or owner not in self._find_silent(inquiry):
+        is_own = owner == self._state.host
+        if not is_own and (owner == host or owner not in self._find_silent(inquiry)):
             was_offered = inquiry.offered_to == owner
             self._inquiries.discard(flow)
             if was_offered:
                 return []
             return self._forward_to_owner(inquiry.frame, owner, now)
-        inquiry.named = owner
+        if not is_own:
+            inquiry.named = owner
         inquiry.answered.add(host)
         inquiry.unsure.add(host)
         return self._offer_next(inquiry, now)
@@ -233,6 +240,9 @@
         if silent:
             return []
         self._inquiries.discard(inquiry.segment.flow)
+        if not self._cannot_be_held(inquiry.segment.flow):
+            # Another agent had been named, so the own server was not offered it first.
+            return self._offer_own_server(inquiry.frame, inquiry.segment, now)
         hops = sum(map(len, self._state.agents.values()))
         return self._end_not_found(inquiry.segment, hops, inquiry.all_restarted, now)
 
--- a/src/berylturn/process/view_sync.py
+++ b/src/berylturn/process/view_sync.py
@@ -298,7 +298,8 @@
 
     def _record_proof(self) -> None:
         """Record that a check has found all kinds current."""
-        self._agents_confirmed_at = self._check.proved_at
+        proved_at = self._check.proved_at
+        self._agents_confirmed_at = max(self._agents_confirmed_at, proved_at)
         self.on_proved()
 
     def _record_answer(self, kind: Kind) -> None:
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -265,6 +265,35 @@
         self.assertLessEqual(max(others), 1)
 
 
+class TestStaleRegistration(unittest.TestCase):
+    """A flow must not be reset because a registration names an agent without it.
+
+    Load pattern: an agent is restarted, and the owner that another agent named to it
+    is overdue, so the search begins with that one.
+    """
+
+    @params(("flow of the own server", "a1"), ("flow of another server", "c1"))
+    def test_owner_is_found(self, _: str, owner: str) -> None:
+        mesh = Mesh({f"{dc}1": (f"dc-{dc}", "desk") for dc in "abc"}, BALANCERS)
+        flow = flow_key(1)
+        self.assertEqual("a1", mesh.open_flow("front-a", flow))
+        if owner != "a1":
+            # The caller's flow is at another server, which only that one knows.
+            mesh.backends["a1"].flows.clear()
+            mesh.backends[owner].flows.add(flow)
+        for name in mesh.agents:
+            mesh.start_agent(name)
+        mesh.start_balancer("front-a", "dc-a")
+        mesh.agents["a1"].on_registered("b1", [flow], mesh.now)
+        mesh.agents["c1"].on_registered("a1", [flow], mesh.now)
+        mesh.boards["a1"].expect_answer("b1", mesh.now - 1.0)
+        answered = mesh.send_request("front-a", flow, owner)
+        mesh.advance(0.5)
+        answered = answered or any(data.endswith(b"ok") for _, data in mesh.to_caller)
+        self.assertTrue(answered)
+        self.assertFalse(mesh.was_reset(flow))
+
+
 class TestSeenStart(unittest.TestCase):
     """Flows must not be reset because an agent took its server for a younger one.
 
