Believe a first report whose number fits the age of its start

Callers would have seen, since: for 1.2 s after each restart of an agent only as many openings at its server as a cold one bears.

Cause: until a second report had come, the server counted as cold, whether the first report could be a late one or not. A report that was held up has too low a number for the present age of its start, as reports are numbered from the start at a known interval.

Change: a first report counts as confirmed if its number is at most half an interval behind.

--- a/src/berylturn/connection/backend_reports.py
+++ b/src/berylturn/connection/backend_reports.py
@@ -24,10 +24,12 @@
 costs only offers to the own server.
 
 What is believed until a second report has come: a first report of a start before this
-process may be a late one. A report that was held up comes alone or in a burst, so the
-second one counts if it comes at least half an interval later. Until then the server
-counts as cold, and where the settings name no service, as not having reported at all.
-Draining is believed at once, as it only closes the gate.
+process may be a late one. Reports are numbered from the start at a known interval, so
+one whose number is as high as the age of its start makes expect is a recent one. Else a
+second one has to come at least half an interval later: reports that were held up come
+alone or in a burst. Until then the server counts as cold, and where the settings name
+no service, as not having reported at all. Draining is believed at once, as it only
+closes the gate.
 """
 
 from __future__ import annotations
@@ -46,6 +48,9 @@
 STALE_REPORT_SECONDS = 2.5
 # Report intervals between the first report of a start and one that confirms it.
 CONFIRMING_INTERVALS = 0.5
+# Report intervals by which the number of a recent report may be behind the age of its
+# start, as intervals and the clock vary.
+RECENT_INTERVALS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,7 +199,7 @@
             self._first_arrived_at = now
             self._confirmed = self._began_later_by_clock(
                 report, INTERPRETER_START_SECONDS
-            )
+            ) or self._is_recent(report, report_seconds, now)
         elif now - self._first_arrived_at >= CONFIRMING_INTERVALS * report_seconds:
             self._confirmed = True
         if restarted or report.cold_seconds > 0:
@@ -228,6 +233,14 @@
     def _began_later_by_clock(self, report: BackendReport, margin: float) -> bool:
         return report.started_ms + 1000 * margin >= self._process.unix_ms
 
+    def _is_recent(
+        self, report: BackendReport, report_seconds: float, now: float
+    ) -> bool:
+        """Tell whether the number of a report fits the present age of its start."""
+        unix_ms = self._process.unix_ms + 1000 * (now - self._process.at)
+        age = (unix_ms - report.started_ms) / 1000
+        return report.sequence >= age / report_seconds - RECENT_INTERVALS
+
     def _is_newer(
         self, report: BackendReport, newest: BackendReport, now: float
     ) -> bool:
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -355,6 +355,9 @@
         ),
         ("two at an interval", False, [(0.1, 1, {}), (1.2, 1, {})], None, False),
         ("started after the agent", False, [(0.1, 6_000, {})], None, False),
+        # The start is 7.1 s ago, and the interval is 1.2 s.
+        ("number fits its age", False, [(0.1, 1, {"sequence": 6})], None, False),
+        ("number is too low", False, [(0.1, 1, {"sequence": 5})], "no_report", True),
         ("service named", True, [(0.1, 1, {})], None, True),
         ("service named, two", True, [(0.1, 1, {}), (1.2, 1, {})], None, False),
         (
