Check that a silent watch is ended and changes arrive at once again

The daemons' test of watches that deliver nothing ended with the first change, which a check finds. No code of the product is changed.

--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -107,6 +107,19 @@
         seeds = {deployment.platform_hosts[name] for name in BALANCERS}
         self.assertLessEqual((counts.by_host - before.by_host).keys(), seeds)
 
+    async def assert_in_force_in_time(
+        self, deployment: OpaqueDeployment, version: int
+    ) -> None:
+        """Write a configuration and check when each daemon has it in force."""
+        loop = asyncio.get_running_loop()
+        written_at = loop.time()
+        await deployment.configure(version, room=1.0)
+        for name in deployment.hosts:
+            await deployment.wait_until(
+                lambda n=name: f'"version":{version}' in deployment.read_log(n)
+            )
+        self.assertLess(loop.time() - written_at, CONFIGURATION_SECONDS)
+
     @params(
         ("balancer stopped", "front-a", signal.SIGTERM, False),
         ("balancer killed", "front-a", signal.SIGKILL, True),
@@ -384,14 +397,16 @@
             await wait_until_only_seeds_watch(deployment)
             for proxy in deployment.platform_proxies.values():
                 proxy.silence_connections()
-            loop = asyncio.get_running_loop()
-            written_at = loop.time()
-            await deployment.configure(7, room=1.0)
-            for name in deployment.hosts:
+            await self.assert_in_force_in_time(deployment, 7)
+            # The checks have ended the silent watches, so changes arrive at once again.
+            for name in BALANCERS:
                 await deployment.wait_until(
-                    lambda n=name: '"version":7' in deployment.read_log(n)
+                    lambda n=name: (
+                        '"watch_silent","kind":"configuration"'
+                        in deployment.read_log(n)
+                    )
                 )
-            self.assertLess(loop.time() - written_at, CONFIGURATION_SECONDS)
+            await self.assert_in_force_in_time(deployment, 8)
 
     @run_async
     async def test_calls_stay_within_platform_rate_limit(self) -> None:
