Count the platform's calls as strictly as before the checks

Found by reading the change once more: since two tests bounded the waiting watches and the writes of a change, but no longer its lists and reads. They now check that nothing but the checks lists anything, and that a change is read at most once for each kind and seed. test_platform_check compares all watches that were ended, not the first ones only, and uses the clock of test_view_sync in place of a third copy.

--- a/src/berylturn_standins/objects.py
+++ b/src/berylturn_standins/objects.py
@@ -50,8 +50,8 @@
     def __init__(self, addresses: list[tuple[str, int]]) -> None:
         self._addresses = addresses
         self.faults = PlatformFaults()
-        # Calls by what they do ("watch" if they wait, "read" or "write"), and by the
-        # address that was called.
+        # Calls by what they do ("watch" if they wait, "read" if they ask for changes at
+        # once, "list KIND" or "write"), and by the address that was called.
         self.calls: Counter[str] = Counter()
         self.calls_by_host: Counter[str] = Counter()
         # Watches that wait for a change.
@@ -233,6 +233,8 @@
 def _classify_call(request: web.Request) -> str:
     if request.method != "GET":
         return "write"
+    if "watch" not in request.query:
+        return f"list {request.match_info['kind']}"
     return "watch" if int(request.query.get("wait_ms", "0")) else "read"
 
 
--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -13,6 +13,7 @@
 from nose2.tools import params
 
 from berylturn.process.logs import FLUSH_SECONDS
+from berylturn.process.object_view import KINDS
 from berylturn_standins.odd_entries import read_odd_entries
 from berylturn_standins.opaque_deployment import SERVICE_ADDRESS, OpaqueDeployment
 
@@ -104,6 +105,9 @@
         counts = CallCounts(deployment)
         calls = counts.calls - before.calls
         self.assertEqual((len(BALANCERS), 0), (calls["watch"], calls["write"]))
+        # Each check lists the evacuations, and a change makes it read each kind once.
+        self.assertLessEqual(calls.keys(), {"watch", "read", "list evacuations"})
+        self.assertLessEqual(calls["read"], len(KINDS) * len(BALANCERS))
         seeds = {deployment.platform_hosts[name] for name in BALANCERS}
         self.assertLessEqual((counts.by_host - before.by_host).keys(), seeds)
 
--- a/tests/test_platform_check.py
+++ b/tests/test_platform_check.py
@@ -12,21 +12,13 @@
 from berylturn.process.platform_check import PlatformCheck
 from berylturn.version.snapshots import ObjectChange, StoredObject
 
+from .test_view_sync import FakeClock
+
 READ_REVISION = 7
 CHANGED_REVISION = 9
 CHANGE = ObjectChange(StoredObject("main", CHANGED_REVISION, b"{}"), removed=False)
 
 
-class FakeClock:
-    """A clock that a test sets."""
-
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def monotonic(self) -> float:
-        return self.now
-
-
 class FakeStore:
     """A platform whose watches deliver nothing, with one change of a configuration."""
 
@@ -66,7 +58,15 @@
         ("the watch stays silent", CHANGED_REVISION, None, False, KINDS, [0], True),
         ("the watch delivers it", CHANGED_REVISION, None, True, KINDS, [], True),
         ("no answer", CHANGED_REVISION, PlatformUnavailable, False, [], [], False),
-        ("history gone", CHANGED_REVISION, WatchExpired, False, KINDS[:1], [0], False),
+        (
+            "history gone",
+            CHANGED_REVISION,
+            WatchExpired,
+            False,
+            KINDS[:1],
+            [0, 0],
+            False,
+        ),
     )
     def test_check(
         self,
@@ -100,4 +100,4 @@
             check.on_answer(Kind.CONFIGURATION)
             check.on_watch_started(Kind.CONFIGURATION)
         asyncio.run(check.check())
-        self.assertEqual([KINDS[n] for n in ended], store.ended[: len(ended) or None])
+        self.assertEqual([KINDS[n] for n in ended], store.ended)
