Give admission, placement and recovery rooms of their own

Change: moves only. What lets openings in, what places them and what is concluded after a restart are packages; the layer test follows nested packages and imports without a module name, which it passed over before.

--- a/bench/passthrough_slopes.py
+++ b/bench/passthrough_slopes.py
@@ -17,9 +17,7 @@
     flow_key,
 )
 
-from berylturn.connection.flow_locations import FlowLocations
 from berylturn.connection.flow_table import FlowTable
-from berylturn.connection.load_board import LoadBoard
 from berylturn.connection.passthrough_router import PassthroughRouter
 from berylturn.connection.peer_frames import (
     Forward,
@@ -29,6 +27,8 @@
     decode_frame,
     encode_frame,
 )
+from berylturn.connection.placement.load_board import LoadBoard
+from berylturn.connection.recovery.flow_locations import FlowLocations
 from berylturn.platform import packets
 
 FLOW_COUNT = 2000
--- /dev/null
+++ b/src/berylturn/connection/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of new passthrough flows: gate, queue, and what is refused."""
--- a/src/berylturn/connection/opening_gate.py
+++ b/src/berylturn/connection/admission/opening_gate.py
@@ -11,10 +11,10 @@
 from collections import deque
 from dataclasses import dataclass
 
-from ..domain import Limits
-from ..version.routes import ServiceLimits
-from .backend_reports import BackendReport, BackendReports, ProcessStart
-from .gate import AdmissionGate
+from ...domain import Limits
+from ...version.routes import ServiceLimits
+from ..gate import AdmissionGate
+from ..recovery.backend_reports import BackendReport, BackendReports, ProcessStart
 
 # Window of the platform's cold limit (1 s) plus the variation in delivery time.
 COLD_WINDOW_SECONDS = 1.05
--- a/src/berylturn/connection/opening_queue.py
+++ b/src/berylturn/connection/admission/opening_queue.py
@@ -15,8 +15,8 @@
 import math
 from dataclasses import dataclass
 
-from .peer_frames import Forward
-from .segments import Segment
+from ..peer_frames import Forward
+from ..segments import Segment
 
 # Duration of a caller's attempt to open a flow, from its first packet.
 ATTEMPT_SECONDS = 1.4
--- a/src/berylturn/connection/passthrough_openings.py
+++ b/src/berylturn/connection/admission/passthrough_openings.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
-from ..version.owners import AgentEntry, rank_agents
-from .load_board import choose_for_opening, choose_soonest
-from .offers import Offers
+from ...version.owners import AgentEntry, rank_agents
+from ..passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
+from ..passthrough_state import PassthroughState
+from ..peer_frames import Forward, Owned, next_forward
+from ..placement.load_board import choose_for_opening, choose_soonest
+from ..placement.work_meter import WorkMeter
+from ..recovery.offers import Offers
+from ..segments import Segment
 from .opening_queue import (
     ATTEMPT_SECONDS,
     MAX_QUEUED,
@@ -12,11 +17,6 @@
     QueuedOpening,
     remaining_attempt_seconds,
 )
-from .passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
-from .passthrough_state import PassthroughState
-from .peer_frames import Forward, Owned, next_forward
-from .segments import Segment
-from .work_meter import WorkMeter
 
 # Bounds the forwarding, so that an opening which no agent admits is answered before
 # the caller retransmits it (after 200 ms).
--- a/src/berylturn/connection/flow_table.py
+++ b/src/berylturn/connection/flow_table.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from .placement.work_meter import WorkMeter
 from .segments import Segment
-from .work_meter import WorkMeter
 
 SEQUENCE_RANGE = 1 << 32
 # Bytes by which the acknowledgement of a caller may exceed the initial sequence number
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -12,12 +12,9 @@
 from ..version.agent_directory import DirectoryTrust
 from ..version.owners import AgentEntry
 from ..version.routes import RouteTable
-from .flow_locations import FlowLocations
-from .flow_search import FlowSearch
+from .admission.opening_gate import OpeningGate
+from .admission.passthrough_openings import OpeningHandler
 from .flow_table import FlowState, FlowTable, PassthroughFlow
-from .load_board import LoadBoard
-from .offers import Offers
-from .opening_gate import OpeningGate
 from .passthrough_effects import (
     LogDecision,
     PassthroughEffect,
@@ -26,9 +23,12 @@
     ToPeer,
     reset_caller,
 )
-from .passthrough_openings import OpeningHandler
 from .passthrough_state import PassthroughState
 from .peer_frames import Findings, Forward, Load, LoadReport, Owned, Registered
+from .placement.load_board import LoadBoard
+from .recovery.flow_locations import FlowLocations
+from .recovery.flow_search import FlowSearch
+from .recovery.offers import Offers
 from .segments import Segment, SegmentCodec, caller_host
 
 # Registrations in one frame, 14 bytes each; a datagram has at most 1,200 bytes.
--- a/src/berylturn/connection/passthrough_router.py
+++ b/src/berylturn/connection/passthrough_router.py
@@ -12,9 +12,9 @@
 from ..version.agent_directory import Directory
 from ..version.owners import AgentEntry, rank_agents
 from ..version.routes import RouteTable
-from .load_board import LoadBoard, choose_for_opening
 from .passthrough_effects import LogDecision, PassthroughEffect, ToPeer, reset_caller
 from .peer_frames import Forward, Load, Owned
+from .placement.load_board import LoadBoard, choose_for_opening
 from .segments import Segment, SegmentCodec
 
 # About 100 bytes each; at the target size 12,000 flows enter at one balancer.
--- a/src/berylturn/connection/passthrough_state.py
+++ b/src/berylturn/connection/passthrough_state.py
@@ -8,12 +8,12 @@
 from ..version.agent_directory import DirectoryTrust
 from ..version.owners import AgentEntry
 from ..version.routes import RouteTable
+from .admission.opening_gate import OpeningGate
+from .admission.opening_queue import OpeningQueue
 from .flow_table import FlowTable
-from .load_board import LoadBoard
-from .opening_gate import OpeningGate
-from .opening_queue import OpeningQueue
 from .passthrough_effects import LogDecision
 from .peer_frames import Forward, LoadReport
+from .placement.load_board import LoadBoard
 from .segments import Segment, SegmentCodec
 
 
--- a/src/berylturn/connection/load_board.py
+++ b/src/berylturn/connection/placement/load_board.py
@@ -20,8 +20,8 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
-from ..version.owners import AgentEntry
-from .peer_frames import LoadReport
+from ...version.owners import AgentEntry
+from ..peer_frames import LoadReport
 from .work_meter import DEFAULT_SERVICE_SECONDS
 
 # Reports arrive twice a second; a report expires when four successors are missing.
--- /dev/null
+++ b/src/berylturn/connection/recovery/__init__.py
@@ -0,0 +1,1 @@
+"""Recovery of passthrough flows: what reports prove, and the search for owners."""
--- a/src/berylturn/connection/flow_inquiry.py
+++ b/src/berylturn/connection/recovery/flow_inquiry.py
@@ -16,8 +16,8 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
-from .peer_frames import Forward
-from .segments import Segment
+from ..peer_frames import Forward
+from ..segments import Segment
 
 # Interval at which agents that have not answered are asked again.
 REPEAT_SECONDS = 0.25
--- a/src/berylturn/connection/flow_locations.py
+++ b/src/berylturn/connection/recovery/flow_locations.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable, Iterable
 
-from ..version.owners import AgentEntry, find_primary_hosts
-from .flow_table import IDLE_MARGIN_SECONDS, PassthroughFlow
+from ...version.owners import AgentEntry, find_primary_hosts
+from ..flow_table import IDLE_MARGIN_SECONDS, PassthroughFlow
 
 # About 150 bytes each; at the target size an agent is responsible for a share of the
 # flows of 6 data centres, 2,000 flows each.
--- a/src/berylturn/connection/flow_search.py
+++ b/src/berylturn/connection/recovery/flow_search.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from ..version.owners import rank_agents
+from ...version.owners import rank_agents
+from ..flow_table import FlowState
+from ..passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
+from ..passthrough_state import PassthroughState
+from ..peer_frames import Findings, Forward, Inquiry, next_forward
+from ..placement.load_board import ANSWER_TIMEOUT_SECONDS
+from ..segments import Segment
 from .flow_inquiry import (
     REPEAT_SECONDS,
     Inquiries,
@@ -10,13 +16,7 @@
     combine_started_together,
 )
 from .flow_locations import FlowLocations
-from .flow_table import FlowState
-from .load_board import ANSWER_TIMEOUT_SECONDS
 from .offers import Offers
-from .passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
-from .passthrough_state import PassthroughState
-from .peer_frames import Findings, Forward, Inquiry, next_forward
-from .segments import Segment
 
 # An agent that is restarted answers again within this time. One that is silent for
 # longer is asked only when the caller sends again.
--- a/src/berylturn/connection/offers.py
+++ b/src/berylturn/connection/recovery/offers.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from .peer_frames import Forward
-from .segments import Segment
+from ..peer_frames import Forward
+from ..segments import Segment
 
 MAX_TAG = (1 << 32) - 1  # Largest value of the 32-bit tag.
 # The backend server is on the same host and returns a packet within milliseconds.
--- a/src/berylturn/platform/documents.py
+++ b/src/berylturn/platform/documents.py
@@ -10,7 +10,7 @@
 import msgspec
 from msgspec import Meta
 
-from ..connection.backend_reports import BackendReport
+from ..connection.recovery.backend_reports import BackendReport
 from ..decoding import decode_pruned, decode_value, is_host_port
 from ..errors import PlatformError
 from ..version.routes import Route, RouteTable, ServiceLimits, ServiceShare
--- a/src/berylturn/platform/http_handlers.py
+++ b/src/berylturn/platform/http_handlers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from urllib.parse import unquote
 
-from ..connection.backend_reports import BackendReport
+from ..connection.recovery.backend_reports import BackendReport
 from ..errors import PlatformError
 from ..process.http_server import Handler, HttpReply, HttpRequest
 from ..process.logs import log_warning
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -8,9 +8,7 @@
 from dataclasses import dataclass
 
 from ..clock import epoch_milliseconds
-from ..connection.backend_reports import BackendReport, OwnServer, ProcessStart
-from ..connection.load_board import LoadBoard
-from ..connection.opening_gate import GateBounds, OpeningGate
+from ..connection.admission.opening_gate import GateBounds, OpeningGate
 from ..connection.passthrough import PassthroughAgent
 from ..connection.passthrough_effects import PassthroughEffect, ToBackend
 from ..connection.peer_frames import (
@@ -24,6 +22,8 @@
     Probe,
     Registered,
 )
+from ..connection.placement.load_board import LoadBoard
+from ..connection.recovery.backend_reports import BackendReport, OwnServer, ProcessStart
 from ..errors import PacketError, PlatformError
 from ..version.agent_directory import AgentDirectory, Directory
 from ..version.owners import AgentEntry
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -5,9 +5,9 @@
 import asyncio
 import random
 
-from ..connection.load_board import LoadBoard
 from ..connection.passthrough_router import PassthroughRouter
 from ..connection.peer_frames import Load, Owned, PeerFrame, Probe
+from ..connection.placement.load_board import LoadBoard
 from ..connection.segments import Segment
 from ..errors import PacketError
 from ..version.agent_directory import AgentDirectory, Directory
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -12,9 +12,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from berylturn.connection.backend_reports import BackendReport, ProcessStart
-from berylturn.connection.load_board import LoadBoard
-from berylturn.connection.opening_gate import GateBounds, OpeningGate
+from berylturn.connection.admission.opening_gate import GateBounds, OpeningGate
 from berylturn.connection.passthrough import PassthroughAgent
 from berylturn.connection.passthrough_effects import ToBackend, ToCaller, ToPeer
 from berylturn.connection.passthrough_router import PassthroughRouter
@@ -27,6 +25,8 @@
     Owned,
     Registered,
 )
+from berylturn.connection.placement.load_board import LoadBoard
+from berylturn.connection.recovery.backend_reports import BackendReport, ProcessStart
 from berylturn.platform import packets
 from berylturn.version.agent_directory import Directory, DirectoryTrust
 from berylturn.version.owners import AgentEntry
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -26,9 +26,14 @@
 def imported_layers(path: Path) -> set[str]:
     """Return the layers that a module imports by relative imports."""
     packages = set()
+    level_of_layers = len(path.relative_to(PACKAGE).parts)
     for node in ast.walk(ast.parse(path.read_text())):
-        if isinstance(node, ast.ImportFrom) and node.level == 2 and node.module:
+        if not isinstance(node, ast.ImportFrom) or node.level != level_of_layers:
+            continue
+        if node.module:
             packages.add(node.module.split(".")[0])
+        else:
+            packages.update(alias.name for alias in node.names)
     return packages & set(LAYERS)
 
 
@@ -40,7 +45,7 @@
         forbidden = set(LAYERS[LAYERS.index(layer) :])
         violations = {
             path.name: imported_layers(path) & forbidden
-            for path in sorted((PACKAGE / layer).glob("*.py"))
+            for path in sorted((PACKAGE / layer).rglob("*.py"))
         }
         self.assertEqual(
             {}, {name: layers for name, layers in violations.items() if layers}
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -6,8 +6,8 @@
 
 from nose2.tools import params
 
-from berylturn.connection.backend_reports import BackendReport, OwnServer
 from berylturn.connection.peer_frames import Load, LoadReport
+from berylturn.connection.recovery.backend_reports import BackendReport, OwnServer
 from berylturn.connection.segments import describe_flow
 from berylturn.errors import PacketError
 from berylturn.platform import packets
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -7,7 +7,7 @@
 
 from nose2.tools import params
 
-from berylturn.connection.backend_reports import BackendReport
+from berylturn.connection.recovery.backend_reports import BackendReport
 from berylturn.errors import PlatformError
 from berylturn.platform.documents import decode_configuration, decode_heartbeat
 from berylturn.platform.http_handlers import (
