--- a/src/berylturn/platform/documents.py
+++ b/src/berylturn/platform/documents.py
@@ -24,6 +24,10 @@
 MAX_PRIORITY = 1_000
 
 
+# Types of routes whose requests may be repeated.
+REPEATABLE_TYPES = ("idempotent", "download")
+
+
 class _WeightedService(msgspec.Struct):
     service: str
     weight: Annotated[float, Meta(ge=0, le=MAX_WEIGHT)] = 1.0
@@ -34,6 +38,7 @@
     host: str
     # Despite its name, the port number between slashes.
     path_prefix: str
+    type: str = ""
     priority: Annotated[int, Meta(ge=0, le=MAX_PRIORITY)] = 0
     aim_ms: Annotated[float, Meta(gt=0, le=MAX_EXACT_INTEGER)] | None = None
     timeout_ms: Annotated[float, Meta(gt=0, le=MAX_EXACT_INTEGER)] | None = None
@@ -100,6 +105,7 @@
                 route.priority,
                 _to_seconds(route.aim_ms),
                 _to_seconds(route.timeout_ms),
+                repeatable=route.type in REPEATABLE_TYPES,
             )
         except (PlatformError, OSError, ValueError, struct.error) as error:
             problems.append(f"route {bytes(raw_route)[:80]!r}: {error}")
--- a/src/berylturn/process/settings.py
+++ b/src/berylturn/process/settings.py
@@ -57,6 +57,9 @@
     watch: Annotated[
         timedelta, Meta(description="longest time a watch request stays open")
     ] = timedelta(seconds=30)
+    terms: Annotated[
+        list[str], Meta(description="names of the platform's terms that are in force")
+    ] = msgspec.field(default_factory=list)
 
 
 class LogsSection(_Section):
@@ -246,6 +249,57 @@
     ] = ""
 
 
+class OutliersSection(_Section):
+    """Detection of backend servers that fail what they accept."""
+
+    mode: Annotated[
+        Literal["off", "observe", "eject"],
+        Meta(description="ignore such servers, only log them, or send them less"),
+    ] = "off"
+    largest_share: Annotated[
+        float,
+        Meta(gt=0, le=0.5, description="largest share of a service's servers left out"),
+    ] = 0.3
+
+
+class PlacementSection(_Section):
+    """Placement of new flows."""
+
+    policy: Annotated[
+        Literal["plain", "mixed"],
+        Meta(description="mixed: foresee the work of long flows beside short ones"),
+    ] = "plain"
+
+
+class FairnessSection(_Section):
+    """Shares of callers while openings wait or are refused."""
+
+    callers: Annotated[
+        Literal["off", "address"],
+        Meta(description="what tells callers apart; off: they are not told apart"),
+    ] = "off"
+
+
+class SecondOffersSection(_Section):
+    """Openings of repeatable requests that are offered to a second backend server."""
+
+    share: Annotated[
+        float,
+        Meta(ge=0, le=0.2, description="largest share of openings; 0 turns it off"),
+    ] = 0.0
+    delay: Annotated[
+        timedelta, Meta(description="shortest wait before an opening is offered again")
+    ] = timedelta(milliseconds=50)
+
+
+class DetoursSection(_Section):
+    """Relays through another data centre around a cut link."""
+
+    mode: Annotated[
+        Literal["off", "on"], Meta(description="whether packets may take a detour")
+    ] = "off"
+
+
 class BalancerSettings(_Section):
     """All settings of a balancer."""
 
@@ -280,6 +334,11 @@
     node: NodeSection
     passthrough: PassthroughSection
     platform: PlatformSection
+    outliers: OutliersSection = OutliersSection()
+    placement: PlacementSection = PlacementSection()
+    fairness: FairnessSection = FairnessSection()
+    second_offers: SecondOffersSection = SecondOffersSection()
+    detours: DetoursSection = DetoursSection()
     logs: LogsSection = LogsSection()
     metrics: MetricsSection = MetricsSection()
 
@@ -291,6 +350,11 @@
     passthrough: PassthroughSection
     opaque_backend: OpaqueBackendSection
     platform: PlatformSection
+    outliers: OutliersSection = OutliersSection()
+    placement: PlacementSection = PlacementSection()
+    fairness: FairnessSection = FairnessSection()
+    second_offers: SecondOffersSection = SecondOffersSection()
+    detours: DetoursSection = DetoursSection()
     logs: LogsSection = LogsSection()
     metrics: MetricsSection = MetricsSection()
 
@@ -372,6 +436,11 @@
     return [parse_address(item) for item in str(text).split(",") if item.strip()]
 
 
+def parse_words(text: str) -> list[str]:
+    """Parse words separated by commas."""
+    return [word.strip() for word in str(text).split(",") if word.strip()]
+
+
 def parse_duration(text: str) -> timedelta:
     """Parse a number with its unit: ``250ms``, ``2s`` or ``5m``."""
     units = {"ms": 0.001, "s": 1.0, "m": 60.0}
@@ -390,6 +459,7 @@
     Address: parse_address,
     Address | None: parse_address,
     list[Address]: parse_addresses,
+    list[str]: parse_words,
     timedelta: parse_duration,
 }
 
--- a/src/berylturn/version/routes.py
+++ b/src/berylturn/version/routes.py
@@ -34,6 +34,8 @@
         Latency objective of a request.
     timeout_seconds : float
         Time after which an answer has no use.
+    repeatable : bool
+        Whether a request may be processed more than once (idempotent).
     """
 
     name: str
@@ -41,6 +43,7 @@
     priority: int = 0
     aim_seconds: float = math.inf
     timeout_seconds: float = math.inf
+    repeatable: bool = False
 
 
 # Its priority is below that of any route in use.
