End a silent watch also if a peer had the change first

Cause: a check noted a watch as overdue only if the check itself read the change. Change: a watch is overdue when the copy has a change after the revision that the watch started from, whoever brought it.

--- a/src/berylturn/process/platform_check.py
+++ b/src/berylturn/process/platform_check.py
@@ -13,6 +13,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from ..clock import Clock
 from ..errors import PlatformError, WatchExpired
@@ -55,10 +56,10 @@
         self._is_watching = is_watching
         self._on_proved = on_proved
         self._proved_at = dict.fromkeys(KINDS, float("-inf"))
-        # Start of the watch of each kind that waits for an answer.
-        self._waiting_since: dict[Kind, float] = {}
-        # Watches that had not delivered what a check found, by their start.
-        self._overdue: dict[Kind, float] = {}
+        # Watch of each kind that waits for an answer.
+        self._waiting: dict[Kind, _WaitingWatch] = {}
+        # Watches that had not delivered what the previous check found.
+        self._overdue: dict[Kind, _WaitingWatch] = {}
         self._failing = False
 
     @property
@@ -68,16 +69,18 @@
 
     def on_watch_started(self, kind: Kind) -> None:
         """Record that a watch waits for an answer."""
-        self._waiting_since[kind] = self._clock.monotonic()
+        self._waiting[kind] = _WaitingWatch(
+            self._clock.monotonic(), self._view.snapshots[kind].at_revision
+        )
 
     def on_answer(self, kind: Kind) -> None:
         """Record a list or the answer to a watch of one kind."""
-        self._waiting_since.pop(kind, None)
+        self._waiting.pop(kind, None)
         self._proved_at[kind] = self._clock.monotonic()
 
     def on_watch_failed(self, kind: Kind) -> None:
         """Record that a watch has ended without an answer."""
-        self._waiting_since.pop(kind, None)
+        self._waiting.pop(kind, None)
 
     async def run(self) -> None:
         """Check once a period, for as long as this node itself watches all kinds."""
@@ -95,6 +98,7 @@
                 self._end_overdue_watch(kind)
                 if self._view.snapshots[kind].at_revision < revision:
                     await self._read_changes(kind)
+                self._find_overdue_watch(kind)
                 self._proved_at[kind] = max(self._proved_at[kind], asked_at)
         except PlatformError as error:
             if not self._failing:
@@ -107,7 +111,6 @@
         self._on_proved()
 
     async def _read_changes(self, kind: Kind) -> None:
-        waiting_since = self._waiting_since.get(kind)
         from_revision = self._view.snapshots[kind].at_revision
         try:
             revision, changes = await self._store.read_changes(kind, from_revision)
@@ -115,14 +118,32 @@
             # The watch has missed this too; after its end the kind is listed again.
             self._store.end_watch(kind)
             raise
-        if changes and waiting_since is not None:
-            self._overdue[kind] = waiting_since
         self._view.apply(kind, revision, changes)
 
+    def _find_overdue_watch(self, kind: Kind) -> None:
+        """Note a watch that has not delivered a change which this copy has.
+
+        The change may have been read by a check, or copied from a peer before it.
+        """
+        waiting = self._waiting.get(kind)
+        if (
+            waiting is not None
+            and waiting.from_revision < self._view.snapshots[kind].newest
+        ):
+            self._overdue[kind] = waiting
+
     def _end_overdue_watch(self, kind: Kind) -> None:
         """End a watch that has not delivered what the previous check found."""
         overdue = self._overdue.pop(kind, None)
-        if overdue is not None and self._waiting_since.get(kind) == overdue:
-            waited = self._clock.monotonic() - overdue
+        if overdue is not None and self._waiting.get(kind) is overdue:
+            waited = self._clock.monotonic() - overdue.started_at
             log_warning("watch_silent", kind=kind, waited_seconds=round(waited, 3))
             self._store.end_watch(kind)
+
+
+@dataclass(frozen=True, slots=True)
+class _WaitingWatch:
+    """A watch that waits for changes after a revision."""
+
+    started_at: float
+    from_revision: int
--- a/tests/test_platform_check.py
+++ b/tests/test_platform_check.py
@@ -101,3 +101,26 @@
             check.on_watch_started(Kind.CONFIGURATION)
         asyncio.run(check.check())
         self.assertEqual([KINDS[n] for n in ended], store.ended)
+
+    @params(("the watch stays silent", False, [KINDS[0]]), ("it delivers", True, []))
+    def test_change_that_a_peer_had_first(
+        self, _: str, delivered: bool, ended: list[Kind]
+    ) -> None:
+        # A node that copied the change from a peer left its silent watch open, which
+        # delivered no later change either until its own timeout.
+        clock, store = FakeClock(), FakeStore(CHANGED_REVISION, None)
+        view = ObjectView(lambda kind: None)
+        check = PlatformCheck(view, store, clock, lambda: True, lambda: None)
+        for kind in KINDS:
+            view.replace(kind, READ_REVISION, [])
+            check.on_watch_started(kind)
+        for kind in KINDS:
+            objects = [CHANGE.object] if kind is Kind.CONFIGURATION else []
+            view.replace(kind, CHANGED_REVISION, objects)
+        asyncio.run(check.check())
+        clock.now += 1.0
+        if delivered:
+            check.on_answer(Kind.CONFIGURATION)
+            check.on_watch_started(Kind.CONFIGURATION)
+        asyncio.run(check.check())
+        self.assertEqual(ended, store.ended)
