Count only calls after the limit is set in the test of the call rate

A trace of one shows 4 calls to the platform between the limit and the stop of the agents, one of them refused: the stand-in's window of a second still held the calls of the deployment's own start, which the test is not about. On a busy machine the start drags on until then. Change: the stand-in's limit counts the calls made since it was set. The bound of 20 calls in any second of the restart stays. Ruled out: that a restarted agent reads the platform though a seed serves it: all four agents log platform_left_to_peers for every kind in that run.

--- a/src/berylturn_standins/objects.py
+++ b/src/berylturn_standins/objects.py
@@ -58,9 +58,8 @@
         self.open_watches = 0
         # Calls that failed because of `faults.mode`.
         self.failed_calls = 0
-        # Calls above this rate are answered 429 and counted in `rate_limited_calls`.
-        self.max_calls_per_second: int | None = None
         self.rate_limited_calls = 0
+        self._max_calls_per_second: int | None = None
         self._call_times: deque[float] = deque()
         self._revision = 0
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
@@ -71,6 +70,11 @@
         self._changed = asyncio.Condition()
         self._runner: web.AppRunner | None = None
 
+    def limit_calls(self, calls_per_second: int) -> None:
+        """Answer 429 to calls above a rate from now on; count `rate_limited_calls`."""
+        self._call_times.clear()
+        self._max_calls_per_second = calls_per_second
+
     async def start(self) -> None:
         """Listen on all addresses."""
         app = web.Application()
@@ -153,8 +157,8 @@
         while now - self._call_times[0] > RATE_WINDOW_SECONDS:
             self._call_times.popleft()
         return (
-            self.max_calls_per_second is not None
-            and len(self._call_times) > self.max_calls_per_second
+            self._max_calls_per_second is not None
+            and len(self._call_times) > self._max_calls_per_second
         )
 
     async def _fail(self, request: web.Request, mode: str) -> web.Response:
--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -415,7 +415,7 @@
     @run_async
     async def test_calls_stay_within_platform_rate_limit(self) -> None:
         async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
-            deployment.platform.max_calls_per_second = 20
+            deployment.platform.limit_calls(20)
             await asyncio.gather(*(deployment.stop(name) for name in AGENTS))
             await asyncio.gather(*(deployment.start(name) for name in AGENTS))
             for name in AGENTS:
