--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -211,6 +211,33 @@
     confirmation_age_ms: int | None
 
 
+class Detour(msgspec.Struct, array_like=True, tag=10):
+    """Relay a frame to a node that the sender cannot reach directly.
+
+    Attributes
+    ----------
+    origin : str
+        IP address of the sender of the frame.
+    target : str
+        IP address of its receiver.
+    data : bytes
+        Encoded frame.
+    relayed : bool
+        Whether a relay has forwarded it; no second one does.
+    """
+
+    origin: str
+    target: str
+    data: bytes
+    relayed: bool = False
+
+
+class PathProbe(msgspec.Struct, array_like=True, tag=13):
+    """Ask a node for an answer on the direct way, or answer such a question."""
+
+    is_answer: bool
+
+
 PeerFrame = (
     Forward
     | Owned
@@ -221,6 +248,8 @@
     | Findings
     | ViewInquiry
     | ViewStatus
+    | Detour
+    | PathProbe
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/berylturn/connection/placement/load_board.py
+++ b/src/berylturn/connection/placement/load_board.py
@@ -17,7 +17,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
 from ...version.owners import AgentEntry
@@ -51,6 +51,8 @@
 
     def __init__(self) -> None:
         self._peers: dict[str, _Peer] = {}
+        # Returns the hosts that only a detour reaches; they get no new flows.
+        self.list_detoured: Callable[[], Collection[str]] = tuple
 
     def record_report(self, host: str, report: LoadReport | None, now: float) -> None:
         """Record that an agent is alive, and its load report if there is one."""
@@ -61,6 +63,10 @@
             peer.reported_at = now
             peer.openings_since_report = 0
 
+    def record_alive(self, host: str, now: float) -> None:
+        """Record that an agent has answered, without a load report."""
+        self.record_report(host, None, now)
+
     def expect_answer(self, host: str, now: float) -> None:
         """Record that an agent was sent a frame that it answers at once."""
         peer = self._peers.setdefault(host, _Peer())
@@ -120,7 +126,7 @@
 
     def accepts(self, host: str, now: float) -> bool:
         """Tell whether an agent may admit an opening, by its last report if any."""
-        if self.is_suspect(host, now):
+        if self.is_suspect(host, now) or host in self.list_detoured():
             return False
         report = self.fresh_report(host, now)
         return report is None or (report.accepting and not report.stopping)
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -110,6 +110,10 @@
             *(sibling.host for sibling in self._siblings),
         ]
         node.describe = self._describe_state
+        node.is_overdue = self._board.is_suspect
+        node.on_host_answered = self._board.record_alive
+        if node.detours is not None:
+            self._board.list_detoured = node.detours.list_hosts
         node.on_settings_reloaded = lambda: self._gate.set_bounds(
             _build_gate_bounds(node)
         )
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -13,12 +13,15 @@
 from ..clock import Clock
 from ..connection.passthrough_effects import PassthroughEffect, ToCaller, ToPeer
 from ..connection.peer_frames import (
+    Detour,
+    PathProbe,
     PeerFrame,
     ViewInquiry,
     ViewStatus,
     decode_frame,
     encode_frame,
 )
+from ..connection.recovery.detours import Detours
 from ..connection.segments import SegmentCodec, describe_flow
 from ..errors import PacketError, PlatformError
 from ..version.owners import AgentEntry
@@ -125,6 +128,16 @@
             self.view, self.sync, self.send, position, self._list_seeds, clock
         )
         self.sync.on_proved = self.relay.notify_followers
+        self.detours: Detours | None = None
+        if settings.detours.mode == "on":
+            self.detours = Detours(
+                self.host,
+                settings.node.data_centre,
+                lambda event, **inputs: self.log_decision(event, b"", **inputs),
+            )
+        # Tells whether an answer of a host is overdue at a time.
+        self.is_overdue: Callable[[str, float], bool] = lambda host, now: False
+        self.on_host_answered: Callable[[str, float], None] = lambda host, now: None
         self.list_known_peers: Callable[[], list[str]] = list
         self.on_settings_reloaded: Callable[[], None] = lambda: None
         # Returns the keys of the state page that only this kind of daemon has.
@@ -204,6 +217,8 @@
             self.frames.set_data_centre(entry.host, entry.data_centre)
         if self._relayed_kinds:
             self.relay.set_agents(entries)
+        if self.detours is not None:
+            self.detours.set_agents({entry.host: entry for entry in entries})
         return entries
 
     def send_effects(self, effects: list[PassthroughEffect]) -> None:
@@ -216,7 +231,21 @@
                 self._caller_transport.sendto(effect.data, (effect.host, port))
 
     def send(self, host: str, frame: PeerFrame) -> None:
-        """Send a frame to another node."""
+        """Send a frame to another node, directly or by a detour."""
+        if self.detours is not None:
+            now = self.now()
+            relay = self.detours.choose_relay(host, self.is_overdue(host, now), now)
+            if relay is not None:
+                if self.detours.is_probe_due(host, now):
+                    self._send_by_relay(relay, host, PathProbe(is_answer=False))
+                self._send_by_relay(relay, host, frame)
+                return
+        self._send_directly(host, frame)
+
+    def _send_by_relay(self, relay: str, host: str, frame: PeerFrame) -> None:
+        self._send_directly(relay, Detour(self.host, host, encode_frame(frame)))
+
+    def _send_directly(self, host: str, frame: PeerFrame) -> None:
         port = self.settings.passthrough.peer_port
         data = encode_frame(frame)
         self.frames.record(type(frame).__name__, host, len(data))
@@ -245,13 +274,69 @@
             except PacketError as error:
                 self.record_drop("frame", error)
                 return
-            if isinstance(frame, ViewInquiry | ViewStatus):
-                self.relay.handle_frame(address[0], frame)
+            if isinstance(frame, Detour):
+                self._handle_detour(address[0], frame, on_frame)
+            elif isinstance(frame, PathProbe):
+                self._handle_probe(address[0], frame)
             else:
-                on_frame(address[0], frame)
+                if self.detours is not None:
+                    self.detours.record_direct(address[0], self.now())
+                self._dispatch(address[0], frame, on_frame)
 
         return receive
 
+    def _dispatch(
+        self, host: str, frame: PeerFrame, on_frame: Callable[[str, PeerFrame], None]
+    ) -> None:
+        if isinstance(frame, ViewInquiry | ViewStatus):
+            self.relay.handle_frame(host, frame)
+        else:
+            on_frame(host, frame)
+
+    def _handle_detour(
+        self, relay: str, detour: Detour, on_frame: Callable[[str, PeerFrame], None]
+    ) -> None:
+        """Handle a frame that came by a relay, or relay it."""
+        if self.detours is None:
+            return
+        now = self.now()
+        if detour.target != self.host:
+            allowed = self.detours.may_relay(detour.target, len(detour.data), now)
+            if allowed and not detour.relayed:
+                onward = Detour(detour.origin, detour.target, detour.data, relayed=True)
+                self._send_directly(detour.target, onward)
+            else:
+                self.metrics.count("dropped.detour")
+            return
+        try:
+            frame = decode_frame(detour.data)
+        except PacketError as error:
+            self.record_drop("detour", error)
+            return
+        if isinstance(frame, Detour):
+            self.metrics.count("dropped.detour")
+            return
+        self.detours.record_relayed(detour.origin, relay, now)
+        if not isinstance(frame, PathProbe):
+            self._dispatch(detour.origin, frame, on_frame)
+        elif not frame.is_answer:
+            self._send_by_relay(relay, detour.origin, PathProbe(is_answer=True))
+
+    def _handle_probe(self, host: str, probe: PathProbe) -> None:
+        if self.detours is None:
+            return
+        if probe.is_answer:
+            self.detours.record_probe_answer(host, self.now())
+            self.on_host_answered(host, self.now())
+        else:
+            self._send_directly(host, PathProbe(is_answer=True))
+
+    def _probe_paths(self) -> None:
+        if self.detours is not None:
+            for host in self.detours.list_probed_hosts(self.now()):
+                self._send_directly(host, PathProbe(is_answer=False))
+            self.metrics.gauge("detours", len(self.detours.list_hosts()))
+
     def _on_view_change(self, kind: Kind) -> None:
         if kind is Kind.CONFIGURATION:
             self._apply_configuration()
@@ -334,6 +419,7 @@
             if tick % FRAME_LOG_TICKS == 0:
                 log_event("frames_sent", counts=self.frames.pop_recent())
             self.event_log.start_second()
+            self._probe_paths()
             self.metrics.gauge("task_failures", self.tasks.failures)
             if self._file.has_changed():
                 self._reload()
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -179,8 +179,9 @@
         self, name: str, data_centre: str, configured: bool = True
     ) -> None:
         """Start a balancer without hints."""
+        board = self.boards[name] = LoadBoard()
         self.routers[name] = PassthroughRouter(
-            name, data_centre, LoadBoard(), packets, self._log_decision
+            name, data_centre, board, packets, self._log_decision
         )
         if configured:
             self.configure_balancer(name)
