Tell who searches for a flow that no server answers beside an agent

Cause: an agent that starts beside no server, as after a loss of power while the server was leaving, offered packets to it that nobody returned. Each search for a dead flow waited there, and its caller waited for its deadline; the agent's entry stayed for 30 s after the agent had been stopped. Change: an agent keeps whether its server has shown itself to this process (recovery.server_signs). If offers stay unanswered for 0.25 s and there is no report, it says so in its findings; a closed port is a proof by itself. The leader of a search counts such a server as one that holds nothing only if power was lost: the other agents of its data centre started together with their servers, at the time of that agent's start (recovery.power_loss). Stopped without a server, an agent removes its entry.

--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -55,6 +55,8 @@
     directory_trust : callable
         Returns how complete the directory of agents is at a time on the monotonic
         clock.
+    started_at : float
+        Start of this process on the monotonic clock.
     """
 
     def __init__(
@@ -66,11 +68,13 @@
         log_decision: LogDecision,
         observe: Callable[[float], None],
         directory_trust: Callable[[float], DirectoryTrust],
+        started_at: float = 0.0,
     ) -> None:
         flows = FlowTable(gate.end_flow, observe)
         self._state = PassthroughState(
             host, gate, board, flows, codec, log_decision, directory_trust
         )
+        self._state.started_at = started_at
         self._locations = FlowLocations(host)
         self._offers = Offers()
         self._openings = OpeningHandler(self._state, self._offers)
@@ -133,6 +137,7 @@
         """Set the agents by service, and the evacuated data centres."""
         self._state.agents = agents
         self._state.evacuated = evacuated
+        self._search.forget_absent_agents()
         self._register_all()
 
     def smooth_load(self, now: float) -> None:
@@ -155,6 +160,7 @@
 
     def on_backend(self, segment: Segment, now: float) -> list[PassthroughEffect]:
         """Handle a packet from the backend server, or one that it returned."""
+        self._state.signs.record_sign()
         if segment.returned:
             return self._on_returned(segment, now)
         self._state.gate.on_answer()
@@ -174,6 +180,14 @@
         """Record the owner of flows that have this agent first in their order."""
         self._locations.record_owner(host, flows, now)
 
+    def on_backend_report(self) -> None:
+        """Record that the backend server has reported."""
+        self._state.signs.record_sign()
+
+    def has_lost_server(self, now: float) -> bool:
+        """Tell whether no backend server seems to run beside this agent."""
+        return self._state.signs.has_ended or self._state.server_missing(now)
+
     def on_backend_restarted(self) -> list[PassthroughEffect]:
         """Resend the newest packet of each open flow, to find the lost flows."""
         return [
@@ -184,6 +198,7 @@
 
     def on_backend_down(self, reason: str) -> list[PassthroughEffect]:
         """Reset all flows of a backend server that is certainly down."""
+        self._state.signs.record_refusal()
         effects: list[PassthroughEffect] = []
         for key in list(self._state.flows.flows):
             effects += self._reset_lost_flow(key, reason)
@@ -198,9 +213,11 @@
         self._locations.sweep(now, max_flow_seconds)
         self._offers.sweep(now, max_flow_seconds)
 
-    def on_inquiry(self, host: str, flows: list[bytes]) -> list[PassthroughEffect]:
+    def on_inquiry(
+        self, host: str, flows: list[bytes], now: float
+    ) -> list[PassthroughEffect]:
         """Answer an agent that searches for the owners of flows."""
-        return self._search.on_inquiry(host, flows)
+        return self._search.on_inquiry(host, flows, now)
 
     def on_findings(
         self, host: str, findings: Findings, now: float
--- a/src/berylturn/connection/passthrough_state.py
+++ b/src/berylturn/connection/passthrough_state.py
@@ -14,6 +14,7 @@
 from .passthrough_effects import LogDecision
 from .peer_frames import Forward, LoadReport
 from .placement.load_board import LoadBoard
+from .recovery.server_signs import ServerSigns
 from .segments import Segment, SegmentCodec
 
 
@@ -49,6 +50,10 @@
         Whether the agent is shutting down.
     queue : OpeningQueue
         Openings that wait for capacity at the backend server.
+    started_at : float
+        Start of this process on the monotonic clock.
+    signs : ServerSigns
+        Signs of life of the backend server.
     """
 
     host: str
@@ -64,6 +69,12 @@
     newest: list[int] = field(default_factory=list)
     stopping: bool = False
     queue: OpeningQueue = field(default_factory=OpeningQueue)
+    started_at: float = 0.0
+    signs: ServerSigns = field(default_factory=ServerSigns)
+
+    def server_missing(self, now: float) -> bool:
+        """Tell whether the backend server has shown no sign of life to this process."""
+        return self.gate.report is None and self.signs.is_missing(now)
 
     def service_of(self, frame: Forward, segment: Segment) -> str | None:
         """Return a flow's service by the newer of the sender's and the own routes."""
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -172,12 +172,19 @@
         Flows that only the backend server can tell, when it is offered a packet.
     started_together : bool or None
         Whether the sender and its backend server started together; None if unknown.
+    server_missing : bool
+        Whether the backend server has given the sender no sign of life and leaves
+        packets unanswered, so that there is no use in offering it the unsure flows.
+    process_seconds : float
+        Seconds since the sender's process started.
     """
 
     held: list[tuple[bytes, str]]
     absent: list[bytes]
     unsure: list[bytes]
     started_together: bool | None = None
+    server_missing: bool = False
+    process_seconds: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class ViewInquiry(msgspec.Struct, array_like=True, tag=8):
--- a/src/berylturn/connection/recovery/flow_inquiry.py
+++ b/src/berylturn/connection/recovery/flow_inquiry.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
-from ..peer_frames import Forward
+from ..peer_frames import Findings, Forward
 from ..segments import Segment
 
 # Interval at which agents that have not answered are asked again.
@@ -48,6 +48,8 @@
         IP addresses of the agents whose servers must be offered the packet.
     offered_to : str
         IP address of the agent that the packet was offered to; empty if none.
+    missing : set of str
+        IP addresses of the agents beside which no server answers.
     all_restarted : bool or None
         Whether every agent that knows started together with its server; None while
         no agent knows.
@@ -62,6 +64,7 @@
     answered: set[str] = field(default_factory=set)
     unsure: set[str] = field(default_factory=set)
     offered_to: str = ""
+    missing: set[str] = field(default_factory=set)
     all_restarted: bool | None = None
 
 
@@ -131,7 +134,7 @@
         self._pending.pop(flow, None)
 
     def record_answer(
-        self, host: str, flow: bytes, absent: bool, started_together: bool | None
+        self, host: str, flow: bytes, absent: bool, findings: Findings
     ) -> PendingInquiry | None:
         """Record one agent's answer; return the inquiry, or None if it has ended.
 
@@ -143,20 +146,23 @@
             Key of the flow.
         absent : bool
             Whether the server of the agent certainly does not hold the flow.
-        started_together : bool or None
-            Whether the agent and its server started together; None if unknown.
+        findings : Findings
+            The answer, with what the agent says about its server.
         """
         inquiry = self._pending.get(flow)
         if inquiry is None:
             return None
         inquiry.all_restarted = combine_started_together(
-            inquiry.all_restarted, started_together
+            inquiry.all_restarted, findings.started_together
         )
         inquiry.answered.add(host)
-        if absent:
+        inquiry.missing.discard(host)
+        if absent or findings.server_missing:
             inquiry.unsure.discard(host)
             if inquiry.offered_to == host:
                 inquiry.offered_to = ""
+            if not absent:
+                inquiry.missing.add(host)
         elif inquiry.offered_to != host:
             inquiry.unsure.add(host)
         return inquiry
--- a/src/berylturn/connection/recovery/flow_search.py
+++ b/src/berylturn/connection/recovery/flow_search.py
@@ -17,6 +17,8 @@
 )
 from .flow_locations import FlowLocations
 from .offers import Offers
+from .power_loss import AgentStart, AgentStarts
+from .server_signs import ANSWER_SECONDS
 
 # An agent that is restarted answers again within this time. One that is silent for
 # longer is asked only when the caller sends again.
@@ -49,11 +51,17 @@
         self._offers = offers
         self._locations = locations
         self._inquiries = Inquiries()
+        self._starts = AgentStarts()
 
     @property
     def is_searching(self) -> bool:
         """Tell whether an owner is being searched for."""
-        return len(self._inquiries) > 0
+        awaits_server = self._state.signs.is_awaited and len(self._offers) > 0
+        return len(self._inquiries) > 0 or awaits_server
+
+    def forget_absent_agents(self) -> None:
+        """Forget what agents have said that are no longer in use."""
+        self._starts.keep_only(self._data_centres())
 
     def handle_unknown(
         self, frame: Forward, segment: Segment, now: float
@@ -69,21 +77,42 @@
                 return []
         if self._cannot_be_held(segment.flow):
             return self.on_not_held(frame, segment, now)
-        return self._offer_own_server(frame, segment, now)
+        offer = self._offer_own_server(frame, segment, now)
+        if self._state.server_missing(now):
+            # The offer shows whether the server is back.
+            return [*offer, *self._on_unanswered(frame, segment, now)]
+        return offer
 
     def on_not_held(
         self, frame: Forward, segment: Segment, now: float
     ) -> list[PassthroughEffect]:
         """Continue the search when the own backend server does not hold the flow."""
         if frame.inquirer:
-            started_together = self._state.gate.started_together
-            return [
-                ToPeer(
-                    frame.inquirer, Findings([], [segment.flow], [], started_together)
-                )
-            ]
+            findings = self._prepare_findings(now)
+            findings.absent.append(segment.flow)
+            return [ToPeer(frame.inquirer, findings)]
+        return self._search(frame, segment, "", now)
+
+    def _on_unanswered(
+        self, frame: Forward, segment: Segment, now: float
+    ) -> list[PassthroughEffect]:
+        """Continue the search when no server answers beside this agent."""
+        if frame.inquirer:
+            findings = self._prepare_findings(now)
+            findings.unsure.append(segment.flow)
+            return [ToPeer(frame.inquirer, findings)]
         return self._search(frame, segment, "", now)
 
+    def _prepare_findings(self, now: float) -> Findings:
+        return Findings(
+            [],
+            [],
+            [],
+            self._state.gate.started_together,
+            self._state.server_missing(now),
+            max(0.0, now - self._state.started_at),
+        )
+
     def continue_searches(self, now: float) -> list[PassthroughEffect]:
         """Ask silent agents again, and go on without those that do not answer."""
         for inquiry in self._inquiries.pop_expired(
@@ -98,6 +127,9 @@
                 silent=self._find_silent(inquiry)[:LOGGED_HOSTS],
             )
         effects: list[PassthroughEffect] = []
+        if self._state.server_missing(now):
+            for frame, segment in self._offers.pop_unanswered(now - ANSWER_SECONDS):
+                effects += self._on_unanswered(frame, segment, now)
         for inquiry in self._inquiries.pending():
             is_due = now - inquiry.asked_at >= REPEAT_SECONDS
             if is_due:
@@ -111,9 +143,11 @@
                 effects += self._offer_next(inquiry, now)
         return effects
 
-    def on_inquiry(self, host: str, flows: list[bytes]) -> list[PassthroughEffect]:
+    def on_inquiry(
+        self, host: str, flows: list[bytes], now: float
+    ) -> list[PassthroughEffect]:
         """Answer another agent from the flow table and the registered locations."""
-        findings = Findings([], [], [], self._state.gate.started_together)
+        findings = self._prepare_findings(now)
         for key in flows:
             flow = self._state.flows.get(key)
             owner = self._locations.owner_of(key)
@@ -132,14 +166,20 @@
     ) -> list[PassthroughEffect]:
         """Handle another agent's answer to an inquiry or an offer."""
         self._state.board.record_report(host, None, now)
+        self._starts.record(
+            host,
+            AgentStart(
+                now - findings.process_seconds,
+                findings.started_together,
+                findings.server_missing,
+            ),
+        )
         effects: list[PassthroughEffect] = []
         for key, owner in findings.held:
             effects += self._on_owner_named(host, key, owner, now)
         for keys, absent in ((findings.absent, True), (findings.unsure, False)):
             for key in keys:
-                inquiry = self._inquiries.record_answer(
-                    host, key, absent, findings.started_together
-                )
+                inquiry = self._inquiries.record_answer(host, key, absent, findings)
                 if inquiry is not None:
                     effects += self._offer_next(inquiry, now)
         return effects
@@ -153,13 +193,16 @@
     def _cannot_be_held(self, flow: bytes) -> bool:
         """Tell whether the own server certainly does not hold an unknown flow."""
         gate = self._state.gate
-        has_complete_table = gate.has_left or gate.saw_start
+        has_complete_table = (
+            gate.has_left or gate.saw_start or self._state.signs.has_ended
+        )
         return has_complete_table or self._offers.was_returned(flow)
 
     def _offer_own_server(
         self, frame: Forward, segment: Segment, now: float
     ) -> list[PassthroughEffect]:
         tag = self._offers.add(frame, segment, now)
+        self._state.signs.record_offer(now)
         return [ToBackend(self._state.codec.write_tag(segment.data, tag))]
 
     def _forward_to_owner(
@@ -240,11 +283,12 @@
         if silent:
             return []
         self._inquiries.discard(inquiry.segment.flow)
-        if not self._cannot_be_held(inquiry.segment.flow):
+        flow = inquiry.segment.flow
+        missing = self._state.server_missing(now)
+        if not missing and not self._cannot_be_held(flow):
             # Another agent had been named, so the own server was not offered it first.
             return self._offer_own_server(inquiry.frame, inquiry.segment, now)
-        hops = sum(map(len, self._state.agents.values()))
-        return self._end_not_found(inquiry.segment, hops, inquiry.all_restarted, now)
+        return self._end_not_found(inquiry, missing, now)
 
     def _must_wait(
         self, inquiry: PendingInquiry, silent: list[str], now: float
@@ -278,30 +322,60 @@
         return sorted(ranked, key=lambda host: host != inquiry.named)
 
     def _end_not_found(
-        self, segment: Segment, hops: int, others_restarted: bool | None, now: float
+        self, inquiry: PendingInquiry, own_missing: bool, now: float
     ) -> list[PassthroughEffect]:
         """Reset a flow that no backend server holds, if its caller expects an answer.
 
         Every agent in the directory has answered that its server does not hold the
         flow: while one answer is missing, the search does not complete. An agent that
         has just started, or that may have missed a change of the directory, cannot be
-        certain and resets nothing.
+        certain and resets nothing. A server that nobody hears must have lost power.
         """
+        segment = inquiry.segment
         own_restarted = self._state.gate.started_together
         all_restarted = (
-            combine_started_together(others_restarted, own_restarted) is True
+            combine_started_together(inquiry.all_restarted, own_restarted) is True
         )
-        certain = self._state.directory_trust(now).is_complete(all_restarted)
+        unproven = self._list_unproven(inquiry.missing, own_missing, now)
+        is_complete = self._state.directory_trust(now).is_complete(all_restarted)
+        certain = is_complete and not unproven
         expects_answer = segment.size > 0 and not segment.closing and not segment.reset
         resets = certain and expects_answer
         self._state.log_decision(
             "flow_not_found",
             segment.flow,
-            hops=hops,
+            hops=sum(map(len, self._state.agents.values())),
             ended=resets,
             certain=certain,
             all_restarted=all_restarted,
+            missing=sorted(inquiry.missing)[:LOGGED_HOSTS],
+            unproven=unproven[:LOGGED_HOSTS],
         )
         if not resets:
             return []
         return [reset_caller(self._state.codec, segment.flow, segment.acknowledged)]
+
+    def _list_unproven(
+        self, missing: set[str], own_missing: bool, now: float
+    ) -> list[str]:
+        """Return the agents whose missing servers may yet live."""
+        hosts = sorted(missing)
+        if own_missing:
+            hosts.append(self._state.host)
+        if not hosts:
+            return []
+        own = AgentStart(
+            self._state.started_at, self._state.gate.started_together, own_missing
+        )
+        self._starts.record(self._state.host, own)
+        data_centres = self._data_centres()
+        return [
+            host for host in hosts if not self._starts.lost_power(host, data_centres)
+        ]
+
+    def _data_centres(self) -> dict[str, str]:
+        return {
+            agent.host: agent.data_centre
+            for agents in self._state.agents.values()
+            for agent in agents
+        }
--- a/src/berylturn/connection/recovery/offers.py
+++ b/src/berylturn/connection/recovery/offers.py
@@ -26,6 +26,9 @@
         self._returned: dict[bytes, float] = {}
         self._next_tag = 1  # 0 stands for a packet without a tag.
 
+    def __len__(self) -> int:
+        return len(self._offers)
+
     def add(self, frame: Forward, segment: Segment, now: float) -> int:
         """Add a packet and return the tag to write into it."""
         tag = self._next_tag
@@ -45,6 +48,16 @@
             del self._latest_frames[segment.flow]
         return frame, segment
 
+    def pop_unanswered(self, offered_before: float) -> list[tuple[Forward, Segment]]:
+        """Remove and return packets of open flows that were offered before a time."""
+        tags = []
+        for tag, (_, segment, offered_at) in self._offers.items():
+            if offered_at >= offered_before:
+                break
+            if not segment.opening:
+                tags.append(tag)
+        return [offer for tag in tags if (offer := self.pop(tag)) is not None]
+
     def record_returned(self, flow: bytes, now: float) -> None:
         """Record that the server has returned a packet of an open flow."""
         self._returned.pop(flow, None)
--- /dev/null
+++ b/src/berylturn/connection/recovery/power_loss.py
@@ -0,0 +1,91 @@
+"""What proves that a server which nobody hears lost its flows with the power.
+
+Load pattern: a data centre, or all of them, lose power and get it back. All agents and
+their servers there start within about two seconds; a server that was leaving, or that
+had crashed, does not come back, and its agent can only say that nothing answers there.
+
+Doubt means silence, so a missing server counts as one that lost power only if
+
+- its agent says that the server has given no sign of life since the agent started,
+- all other agents of its data centre whose servers have reported started together with
+  them, and they are two at least (else the agents of all data centres count), and
+- all these agents, the missing server's included, started at one time. An agent that is
+  restarted later, beside a server that hangs, proves nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+# Agents that get power back together start within this time of one another.
+POWER_RETURN_SPAN_SECONDS = 3.0
+# Agents of one data centre from which on the others need not be heard.
+MIN_WITNESSES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class AgentStart:
+    """What an agent last said about its start and its server.
+
+    Attributes
+    ----------
+    at : float
+        Start of the agent's process in seconds on the monotonic clock of this node.
+    started_together : bool or None
+        Whether its server started together with it; None without a report.
+    server_missing : bool
+        Whether its server has given no sign of life since, though packets were offered.
+    """
+
+    at: float
+    started_together: bool | None
+    server_missing: bool
+
+
+class AgentStarts:
+    """Store the newest word of each agent, by IP address."""
+
+    def __init__(self) -> None:
+        self._starts: dict[str, AgentStart] = {}
+
+    def record(self, host: str, start: AgentStart) -> None:
+        """Record the word of an agent."""
+        self._starts[host] = start
+
+    def keep_only(self, hosts: Mapping[str, str]) -> None:
+        """Remove agents that are no longer in use."""
+        for host in self._starts.keys() - hosts.keys():
+            del self._starts[host]
+
+    def lost_power(self, host: str, data_centres: Mapping[str, str]) -> bool:
+        """Tell whether the missing server of an agent certainly lost power.
+
+        Parameters
+        ----------
+        host : str
+            IP address of the agent.
+        data_centres : mapping of str to str
+            Data centre of each agent in use, by IP address.
+        """
+        missing = self._starts.get(host)
+        if missing is None or not missing.server_missing:
+            return False
+        witnesses = {
+            other: start
+            for other, start in self._starts.items()
+            if other != host
+            and other in data_centres
+            and start.started_together is not None
+        }
+        near = [
+            start
+            for other, start in witnesses.items()
+            if data_centres[other] == data_centres.get(host)
+        ]
+        heard = near if len(near) >= MIN_WITNESSES else list(witnesses.values())
+        return bool(heard) and all(
+            start.started_together
+            and abs(start.at - missing.at) <= POWER_RETURN_SPAN_SECONDS
+            for start in heard
+        )
--- a/src/berylturn/process/agent_entries.py
+++ b/src/berylturn/process/agent_entries.py
@@ -87,6 +87,11 @@
         """Tell whether no entry is desired and this agent has removed it."""
         return self._removed and self._desired is None
 
+    @property
+    def is_listed(self) -> bool:
+        """Tell whether the copy of the directory holds the entry."""
+        return self._name in self._view.snapshots[Kind.AGENTS].objects
+
     def set_entry(self, entry: AgentEntry | None) -> None:
         """Set the desired entry; None means that there should be no entry."""
         if entry != self._desired or not self._desired_is_set:
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -82,6 +82,7 @@
             node.log_decision,
             lambda seconds: node.metrics.time("response", seconds),
             node.sync.directory_trust,
+            node.started,
         )
         self._directory = AgentDirectory(self._board.has_left)
         self._entry_writer = EntryWriter(node.settings.node.name, node.view, node.store)
@@ -140,6 +141,7 @@
             )
             return False
         before = self._gate.report
+        self._agent.on_backend_report()
         self._set_limits(report.service)
         restarted = self._gate.record_report(
             report, node.now(), service_known=own.service is not None
@@ -257,7 +259,7 @@
         elif type(frame) is Owned:
             self._board.record_report(host, frame.load, now)
         elif type(frame) is Inquiry:
-            self._send_effects(self._agent.on_inquiry(host, frame.flows))
+            self._send_effects(self._agent.on_inquiry(host, frame.flows, now))
         elif type(frame) is Findings:
             self._send_effects(self._agent.on_findings(host, frame, now))
 
@@ -423,10 +425,19 @@
             remote_siblings=True,
             remote_balancers=True,
         )
+        server_lost = self._agent.has_lost_server(node.now())
         log_event(
-            "stopping", flows=len(self._agent.flows), backend_left=self._gate.has_left
+            "stopping",
+            flows=len(self._agent.flows),
+            backend_left=self._gate.has_left,
+            server_lost=server_lost,
         )
-        if self._gate.has_left and not self._entry_writer.removed:
+        must_remove = self._gate.has_left and not self._entry_writer.removed
+        if server_lost and self._entry_writer.is_listed:
+            # If the server lives, the next process beside it writes the entry again.
+            self._entry_writer.set_entry(None)
+            must_remove = True
+        if must_remove:
             try:
                 await self._entry_writer.write()
             except PlatformError as error:
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -167,6 +167,7 @@
             self._log_decision,
             lambda seconds: None,
             lambda now: DirectoryTrust(name not in self.uncertain, self.known_seconds),
+            process.at,
         )
         self.agents[name] = rules
         rules.set_table(self.table)
@@ -224,6 +225,7 @@
         restarted = self.gates[name].record_report(
             BackendReport(**values), self.now, service_known
         )
+        self.agents[name].on_backend_report()
         if restarted:
             self._run_effects(name, self.agents[name].on_backend_restarted())
         return restarted
@@ -344,7 +346,7 @@
         elif type(frame) is Registered:
             rules.on_registered(sender, frame.flows, self.now)
         elif type(frame) is Inquiry:
-            return rules.on_inquiry(sender, frame.flows)
+            return rules.on_inquiry(sender, frame.flows, self.now)
         elif type(frame) is Findings:
             return rules.on_findings(sender, frame, self.now)
         elif type(frame) is Forward:
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,133 @@
+"""Test how flows are found or ended after hosts have lost power, in virtual time."""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from .passthrough_mesh import Mesh, flow_key
+
+AGENTS = {
+    **{f"a{n}": ("dc-a", "desk") for n in range(3)},
+    **{f"b{n}": ("dc-b", "desk") for n in range(3)},
+    "c0": ("dc-c", "desk"),
+}
+BALANCERS = {"front-a": "dc-a", "front-b": "dc-b"}
+# Time after a packet within which its caller is told that the flow is lost: much less
+# than the 1.5 s for which callers wait for an answer.
+TOLD_SECONDS = 0.5
+
+
+def lose_power(mesh: Mesh, names: set[str], gone: set[str], **report: object) -> None:
+    """Restart agents with their servers, apart from those servers that are gone."""
+    mesh.known_seconds = 0.1
+    for name in names:
+        mesh.backends[name].flows.clear()
+        mesh.backends[name].dead = name in gone
+        mesh.start_agent(name, reported=False)
+    for name in names - gone:
+        mesh.report(name, **{"started_ms": 2, "cold_seconds": 1.9, **report})
+
+
+class TestServersThatStayAway(unittest.TestCase):
+    """A server that does not come back must not keep callers of dead flows waiting.
+
+    Load pattern: everything loses power while servers leave, and every caller then
+    sends on a flow that is dead.
+    """
+
+    @params(
+        ("one", {"b1"}),
+        ("first in the order of some flows", {"a0"}),
+        ("the only one of its data centre", {"c0"}),
+        ("several", {"a1", "b1", "c0"}),
+    )
+    def test_power_loss(self, _: str, gone: set[str]) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        flows = [flow_key(number) for number in range(30)]
+        owners = {flow: mesh.open_flow("front-a", flow) for flow in flows}
+        lose_power(mesh, set(AGENTS), gone)
+        mesh.start_balancer("front-a", "dc-a")
+        for flow in flows:
+            mesh.send_request("front-a", flow, owners[flow])
+        mesh.advance(2 * TOLD_SECONDS)
+        self.assertEqual([], [f for f in flows if not mesh.was_reset(f)])
+        # From then on a caller is told at its first packet.
+        later = [flow_key(number) for number in range(30, 60)]
+        for flow in later:
+            mesh.send_request("front-a", flow, "a2")
+        self.assertEqual([], [f for f in later if not mesh.was_reset(f)])
+
+    @params(
+        ("of one data centre", {"a0", "a1", "a2"}, "a1", True),
+        ("of hosts that are restarted one by one", {"a1"}, "a1", False),
+    )
+    def test_some_hosts_restart(
+        self, _: str, names: set[str], gone: str, ended: bool
+    ) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        lose_power(mesh, names, {gone})
+        mesh.known_seconds = 60.0
+        # No agent has this flow in its table.
+        flow = flow_key(1)
+        mesh.send_request("front-a", flow, "a0")
+        mesh.advance(2 * TOLD_SECONDS)
+        self.assertEqual(ended, mesh.was_reset(flow))
+
+    def test_agent_restarted_later_beside_a_server_that_hangs(self) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        lose_power(mesh, set(AGENTS), set())
+        mesh.now += 10.0
+        mesh.known_seconds = 10.0
+        for name in AGENTS:
+            mesh.report(name, started_ms=2)
+        flow = flow_key(1)
+        owner = mesh.open_flow("front-a", flow)
+        mesh.backends[owner].dead = True
+        mesh.start_agent(owner, reported=False)
+        mesh.start_balancer("front-a", "dc-a")
+        mesh.send_request("front-a", flow, owner)
+        mesh.advance(2.0)
+        self.assertFalse(mesh.was_reset(flow))
+
+    def test_server_that_has_not_reported_yet_answers(self) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        flow = flow_key(1)
+        owner = mesh.open_flow("front-a", flow)
+        lose_power(mesh, set(AGENTS) - {owner}, set())
+        mesh.start_agent(owner, reported=False)
+        mesh.start_balancer("front-a", "dc-a")
+        self.assertTrue(mesh.send_request("front-a", flow, owner))
+        mesh.advance(1.0)
+        self.assertFalse(mesh.was_reset(flow))
+        self.assertFalse(mesh.agents[owner].has_lost_server(mesh.now))
+
+    @params(("closed port", True, True), ("no answer", False, False))
+    def test_crashed_server_and_restarted_agents(
+        self, _: str, refused: bool, ended: bool
+    ) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        flow = flow_key(1)
+        owner = mesh.open_flow("front-a", flow)
+        mesh.backends[owner].dead = True
+        for name in AGENTS:
+            mesh.start_agent(name, reported=name != owner)
+        if refused:
+            mesh.agents[owner].on_backend_down("backend_refused")
+        mesh.start_balancer("front-a", "dc-a")
+        mesh.send_request("front-a", flow, owner)
+        mesh.advance(1.0)
+        self.assertEqual(ended, mesh.was_reset(flow))
+
+    @params(("gone", True, True), ("alive", False, False))
+    def test_agent_that_is_stopped(self, _: str, gone: bool, removed: bool) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        flow = flow_key(1)
+        owner = mesh.open_flow("front-a", flow)
+        mesh.backends[owner].dead = gone
+        mesh.start_agent(owner, reported=False)
+        mesh.start_balancer("front-a", "dc-a")
+        mesh.send_request("front-a", flow, owner)
+        mesh.advance(0.5)
+        self.assertEqual(removed, mesh.agents[owner].has_lost_server(mesh.now))
