Let go of an agent that leaves after a loss of power

Change: an agent whose server has not reported since the agent's start, and which knows from searches that all others of its data centre lost power with their servers at that time, removes its entry when it is stopped: it has admitted no flow, and the server's older ones went with the power. Others that know the same need not keep such an agent for the grace period of lost entries, and searches let go of agents that are no longer in use. Rolling restarts are as before.

--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -182,11 +182,27 @@
 
     def on_backend_report(self) -> None:
         """Record that the backend server has reported."""
-        self._state.signs.record_sign()
+        self._state.signs.record_report()
 
     def has_lost_server(self, now: float) -> bool:
-        """Tell whether no backend server seems to run beside this agent."""
-        return self._state.signs.has_ended or self._state.server_missing(now)
+        """Tell whether the backend server beside this agent holds no open flow."""
+        return (
+            self._state.signs.has_ended
+            or self._state.server_missing(now)
+            or self.has_lost_power(self._state.host, now)
+        )
+
+    def has_lost_power(self, host: str, now: float) -> bool:
+        """Tell whether an agent's server lost power and has not reported since.
+
+        Parameters
+        ----------
+        host : str
+            IP address of the agent.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        return self._search.has_lost_power(host, now)
 
     def on_backend_restarted(self) -> list[PassthroughEffect]:
         """Resend the newest packet of each open flow, to find the lost flows."""
--- a/src/berylturn/connection/passthrough_state.py
+++ b/src/berylturn/connection/passthrough_state.py
@@ -74,7 +74,7 @@
 
     def server_missing(self, now: float) -> bool:
         """Tell whether the backend server has shown no sign of life to this process."""
-        return self.gate.report is None and self.signs.is_missing(now)
+        return self.signs.is_missing(now)
 
     def service_of(self, frame: Forward, segment: Segment) -> str | None:
         """Return a flow's service by the newer of the sender's and the own routes."""
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -177,6 +177,8 @@
         packets unanswered, so that there is no use in offering it the unsure flows.
     process_seconds : float
         Seconds since the sender's process started.
+    has_reported : bool
+        Whether the backend server has reported to the sender since then.
     """
 
     held: list[tuple[bytes, str]]
@@ -185,6 +187,7 @@
     started_together: bool | None = None
     server_missing: bool = False
     process_seconds: Annotated[float, Meta(ge=0)] = 0.0
+    has_reported: bool = True
 
 
 class ViewInquiry(msgspec.Struct, array_like=True, tag=8):
--- a/src/berylturn/connection/recovery/flow_search.py
+++ b/src/berylturn/connection/recovery/flow_search.py
@@ -59,9 +59,33 @@
         awaits_server = self._state.signs.is_awaited and len(self._offers) > 0
         return len(self._inquiries) > 0 or awaits_server
 
+    def has_lost_power(self, host: str, now: float) -> bool:
+        """Tell whether an agent's server, also the own one, certainly lost power.
+
+        Parameters
+        ----------
+        host : str
+            IP address of the agent.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        state = self._state
+        own = AgentStart(
+            state.started_at,
+            state.gate.started_together,
+            state.signs.has_reported,
+            now,
+        )
+        self._starts.record(state.host, own)
+        return self._starts.lost_power(host, self._data_centres(), now)
+
     def forget_absent_agents(self) -> None:
-        """Forget what agents have said that are no longer in use."""
-        self._starts.keep_only(self._data_centres())
+        """Stop to wait for agents that are no longer in use, and forget their words."""
+        data_centres = self._data_centres()
+        self._starts.keep_only(data_centres)
+        for inquiry in self._inquiries.pending():
+            if inquiry.offered_to not in data_centres:
+                inquiry.offered_to = ""
 
     def handle_unknown(
         self, frame: Forward, segment: Segment, now: float
@@ -111,6 +135,7 @@
             self._state.gate.started_together,
             self._state.server_missing(now),
             max(0.0, now - self._state.started_at),
+            self._state.signs.has_reported,
         )
 
     def continue_searches(self, now: float) -> list[PassthroughEffect]:
@@ -171,7 +196,8 @@
             AgentStart(
                 now - findings.process_seconds,
                 findings.started_together,
-                findings.server_missing,
+                findings.has_reported,
+                now,
             ),
         )
         effects: list[PassthroughEffect] = []
@@ -362,16 +388,7 @@
         hosts = sorted(missing)
         if own_missing:
             hosts.append(self._state.host)
-        if not hosts:
-            return []
-        own = AgentStart(
-            self._state.started_at, self._state.gate.started_together, own_missing
-        )
-        self._starts.record(self._state.host, own)
-        data_centres = self._data_centres()
-        return [
-            host for host in hosts if not self._starts.lost_power(host, data_centres)
-        ]
+        return [host for host in hosts if not self.has_lost_power(host, now)]
 
     def _data_centres(self) -> dict[str, str]:
         return {
--- a/src/berylturn/connection/recovery/power_loss.py
+++ b/src/berylturn/connection/recovery/power_loss.py
@@ -4,13 +4,18 @@
 their servers there start within about two seconds; a server that was leaving, or that
 had crashed, does not come back, and its agent can only say that nothing answers there.
 
-Doubt means silence, so a missing server counts as one that lost power only if
+Doubt means silence, so the server of an agent counts as one that lost power only if
 
-- its agent says that the server has given no sign of life since the agent started,
+- the agent has had no report of it since the agent's own start, so that it has admitted
+  no flow to it either,
 - all other agents of its data centre whose servers have reported started together with
   them, and they are two at least (else the agents of all data centres count), and
-- all these agents, the missing server's included, started at one time. An agent that is
-  restarted later, beside a server that hangs, proves nothing.
+- all these agents and that one started at one time. An agent that is restarted later,
+  beside a server that hangs, proves nothing.
+
+Such a server holds no open flow that anybody could have opened since. As a second
+condition, either nothing answers beside the agent (`recovery.server_signs`), or the
+agent has been stopped and has removed its entry.
 """
 
 from __future__ import annotations
@@ -22,6 +27,8 @@
 POWER_RETURN_SPAN_SECONDS = 3.0
 # Agents of one data centre from which on the others need not be heard.
 MIN_WITNESSES = 2
+# Age from which the word of an agent proves nothing, as its server may have reported.
+MAX_WORD_AGE_SECONDS = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,13 +41,16 @@
         Start of the agent's process in seconds on the monotonic clock of this node.
     started_together : bool or None
         Whether its server started together with it; None without a report.
-    server_missing : bool
-        Whether its server has given no sign of life since, though packets were offered.
+    has_reported : bool
+        Whether its server has reported to it since.
+    heard_at : float
+        When it said so.
     """
 
     at: float
     started_together: bool | None
-    server_missing: bool
+    has_reported: bool
+    heard_at: float
 
 
 class AgentStarts:
@@ -58,8 +68,10 @@
         for host in self._starts.keys() - hosts.keys():
             del self._starts[host]
 
-    def lost_power(self, host: str, data_centres: Mapping[str, str]) -> bool:
-        """Tell whether the missing server of an agent certainly lost power.
+    def lost_power(
+        self, host: str, data_centres: Mapping[str, str], now: float
+    ) -> bool:
+        """Tell whether an agent's server that has not reported certainly lost power.
 
         Parameters
         ----------
@@ -67,16 +79,16 @@
             IP address of the agent.
         data_centres : mapping of str to str
             Data centre of each agent in use, by IP address.
+        now : float
+            Seconds on the monotonic clock.
         """
-        missing = self._starts.get(host)
-        if missing is None or not missing.server_missing:
+        own = self._starts.get(host)
+        if own is None or own.has_reported or now - own.heard_at > MAX_WORD_AGE_SECONDS:
             return False
         witnesses = {
             other: start
             for other, start in self._starts.items()
-            if other != host
-            and other in data_centres
-            and start.started_together is not None
+            if other in data_centres and start.started_together is not None
         }
         near = [
             start
@@ -84,8 +96,8 @@
             if data_centres[other] == data_centres.get(host)
         ]
         heard = near if len(near) >= MIN_WITNESSES else list(witnesses.values())
-        return bool(heard) and all(
+        return len(heard) > 0 and all(
             start.started_together
-            and abs(start.at - missing.at) <= POWER_RETURN_SPAN_SECONDS
+            and abs(start.at - own.at) <= POWER_RETURN_SPAN_SECONDS
             for start in heard
         )
--- a/src/berylturn/connection/recovery/server_signs.py
+++ b/src/berylturn/connection/recovery/server_signs.py
@@ -22,6 +22,7 @@
 
     def __init__(self) -> None:
         self._seen = False
+        self._has_reported = False
         self._has_ended = False
         self._offered_at: float | None = None
 
@@ -30,13 +31,23 @@
         """Tell whether the server's port was closed and nothing came since."""
         return self._has_ended
 
+    @property
+    def has_reported(self) -> bool:
+        """Tell whether the server has reported to this process, believed or not."""
+        return self._has_reported
+
     @property
     def is_awaited(self) -> bool:
         """Tell whether a packet was offered and the server has not shown itself yet."""
         return not self._seen and self._offered_at is not None
 
+    def record_report(self) -> None:
+        """Record a report of the server, also one that may be a late one."""
+        self._has_reported = True
+        self.record_sign()
+
     def record_sign(self) -> None:
-        """Record a report or a packet of the server."""
+        """Record a packet of the server."""
         self._seen = True
         self._has_ended = False
 
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -84,7 +84,12 @@
             node.sync.directory_trust,
             node.started,
         )
-        self._directory = AgentDirectory(self._board.has_left)
+        self._directory = AgentDirectory(
+            lambda host: (
+                self._board.has_left(host)
+                or self._agent.has_lost_power(host, node.now())
+            )
+        )
         self._entry_writer = EntryWriter(node.settings.node.name, node.view, node.store)
         self._backend_transport: asyncio.DatagramTransport | None = None
         self._balancers: dict[str, _Balancer] = {}
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -6,7 +6,7 @@
 
 from nose2.tools import params
 
-from .passthrough_mesh import Mesh, flow_key
+from .passthrough_mesh import ACK, Mesh, caller_packet, flow_key
 
 AGENTS = {
     **{f"a{n}": ("dc-a", "desk") for n in range(3)},
@@ -131,3 +131,56 @@
         mesh.send_request("front-a", flow, owner)
         mesh.advance(0.5)
         self.assertEqual(removed, mesh.agents[owner].has_lost_server(mesh.now))
+
+    @params(
+        ("all lost power, no report yet", True, False, True),
+        ("all lost power, server has reported", True, True, False),
+        ("rolling restart", False, False, False),
+        ("late deregistration after the first report", True, None, False),
+    )
+    def test_agent_that_is_stopped_beside_a_living_server(
+        self, _: str, power_lost: bool, reported: bool | None, dispensable: bool
+    ) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        flow = flow_key(1)
+        owner = mesh.open_flow("front-a", flow)
+        if power_lost:
+            lose_power(mesh, set(AGENTS) - {owner}, set())
+        mesh.start_agent(owner, reported=False)
+        if reported is not False:
+            mesh.report(owner)
+        if reported is None:
+            mesh.gates[owner].deregister(f"i-{owner}")
+        # Searches tell the agents of these data centres of all others.
+        for number in range(10, 40):
+            packet = caller_packet(flow_key(number), ACK, body=b"GET")
+            mesh.send("front-a", packet)
+            mesh.send("front-b", packet)
+        mesh.advance(0.1)
+        rules = mesh.agents[owner]
+        self.assertEqual(dispensable, rules.has_lost_server(mesh.now))
+        for name, other in mesh.agents.items():
+            if name not in (owner, "c0"):
+                said = other.has_lost_power(owner, mesh.now)
+                self.assertEqual(dispensable, said, name)
+
+    def test_search_goes_on_without_an_agent_that_leaves(self) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        owners = {flow_key(n): "" for n in range(20)}
+        for flow in owners:
+            owners[flow] = mesh.open_flow("front-a", flow)
+        lose_power(mesh, set(AGENTS), {"a1"})
+        mesh.start_balancer("front-a", "dc-a")
+        for flow, owner in owners.items():
+            mesh.send_request("front-a", flow, owner)
+        mesh.down = {"a1"}
+        mesh.advance(0.2)
+        mesh.entries = [entry for entry in mesh.entries if entry.name != "a1"]
+        for rules in mesh.agents.values():
+            rules.set_agents(mesh.directory().by_service, frozenset())
+        mesh.advance(0.5)
+        # Packets that the leaving agent was to search for itself are lost.
+        for flow, owner in owners.items():
+            mesh.configure_balancer("front-a")
+            mesh.send_request("front-a", flow, owner)
+        self.assertEqual([], [f for f in owners if not mesh.was_reset(f)])
