Keep a search whose directory is not confirmed yet; open the callers' socket first

Change: such a search is kept and ends when the copy is confirmed. Daemons open the socket for callers before those that bring packets for them. The order of the sockets has no test without daemons.

--- a/src/berylturn/connection/recovery/flow_inquiry.py
+++ b/src/berylturn/connection/recovery/flow_inquiry.py
@@ -50,6 +50,9 @@
         IP address of the agent that the packet was offered to; empty if none.
     missing : set of str
         IP addresses of the agents beside which no server answers.
+    is_answered : bool
+        Whether all have answered that they do not hold the flow, so that only the
+        directory must be confirmed.
     all_restarted : bool or None
         Whether every agent that knows started together with its server; None while
         no agent knows.
@@ -65,6 +68,7 @@
     unsure: set[str] = field(default_factory=set)
     offered_to: str = ""
     missing: set[str] = field(default_factory=set)
+    is_answered: bool = False
     all_restarted: bool | None = None
 
 
--- a/src/berylturn/connection/recovery/flow_search.py
+++ b/src/berylturn/connection/recovery/flow_search.py
@@ -155,6 +155,7 @@
         if self._state.server_missing(now):
             for frame, segment in self._offers.pop_unanswered(now - ANSWER_SECONDS):
                 effects += self._on_unanswered(frame, segment, now)
+        is_current = self._state.directory_trust(now).is_current
         for inquiry in self._inquiries.pending():
             is_due = now - inquiry.asked_at >= REPEAT_SECONDS
             if is_due:
@@ -164,7 +165,7 @@
                     if self._state.board.silent_seconds(host, now) < RESTART_SECONDS
                 ]
                 self._ask(inquiry, away, now)
-            if is_due or inquiry.unsure:
+            if is_due or inquiry.unsure or (is_current and inquiry.is_answered):
                 effects += self._offer_next(inquiry, now)
         return effects
 
@@ -308,6 +309,11 @@
             return [ToPeer(chosen, offer)]
         if silent:
             return []
+        trust = self._state.directory_trust(now)
+        inquiry.is_answered = not trust.is_current
+        if inquiry.is_answered:
+            # A node that has just started has its copy confirmed within moments.
+            return []
         self._inquiries.discard(inquiry.segment.flow)
         flow = inquiry.segment.flow
         missing = self._state.server_missing(now)
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -104,6 +104,8 @@
         """Serve until SIGTERM."""
         node = self._node
         backend_settings = node.settings.opaque_backend
+        # What the backend server sends is passed on to callers at once.
+        await node.open_caller_socket(self._on_unexpected_packet)
         await open_udp(backend_settings.outbound, self._on_backend_packet)
         loop = asyncio.get_running_loop()
         self._backend_transport, _ = await loop.create_datagram_endpoint(
@@ -120,7 +122,6 @@
             _build_gate_bounds(node)
         )
         await node.open(
-            self._on_unexpected_packet,
             self._on_frame,
             self._on_objects_changed,
             heartbeats,
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -73,8 +73,8 @@
         node = self._node
         node.list_known_peers = self._list_recent_agents
         node.describe = self._describe_state
+        await node.open_caller_socket(self._on_caller_packet)
         await node.open(
-            self._on_caller_packet,
             self._on_frame,
             self._on_objects_changed,
             heartbeats,
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -157,21 +157,25 @@
             rounded["flow"] = describe_flow(flow)
         self.event_log.write(event, **rounded)
 
+    async def open_caller_socket(
+        self, on_caller: Callable[[bytes, Address], None]
+    ) -> None:
+        """Open the socket for packets from and to callers, before all others."""
+        asyncio.get_running_loop().set_exception_handler(log_callback_error)
+        self._caller_transport = await open_udp(
+            self.settings.passthrough.packets, on_caller, self._early_socket
+        )
+
     async def open(
         self,
-        on_caller: Callable[[bytes, Address], None],
         on_frame: Callable[[str, PeerFrame], None],
         on_objects_changed: Callable[[Kind], None],
         heartbeats: Handler,
         readiness: Handler,
     ) -> None:
-        """Open the sockets, start the tasks and start to watch the platform."""
+        """Open the other sockets, start the tasks and start to watch the platform."""
         addresses = self.settings.passthrough
-        asyncio.get_running_loop().set_exception_handler(log_callback_error)
         self._on_objects_changed = on_objects_changed
-        self._caller_transport = await open_udp(
-            addresses.packets, on_caller, self._early_socket
-        )
         self._peer_transport = await open_udp(
             (self.bind_host, addresses.peer_port), self._make_frame_receiver(on_frame)
         )
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -132,6 +132,20 @@
         mesh.advance(0.5)
         self.assertEqual(removed, mesh.agents[owner].has_lost_server(mesh.now))
 
+    def test_directory_that_is_confirmed_a_moment_later(self) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        flow = flow_key(1)
+        owner = mesh.open_flow("front-a", flow)
+        lose_power(mesh, set(AGENTS), set())
+        mesh.uncertain.update(AGENTS)
+        mesh.start_balancer("front-a", "dc-a")
+        mesh.send_request("front-a", flow, owner)
+        mesh.advance(0.2)
+        self.assertFalse(mesh.was_reset(flow))
+        mesh.uncertain.clear()
+        mesh.advance(0.1)
+        self.assertTrue(mesh.was_reset(flow))
+
     @params(
         ("all lost power, no report yet", True, False, True),
         ("all lost power, server has reported", True, True, False),
