--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -82,8 +82,14 @@
             node.log_decision,
             lambda seconds: node.metrics.time("response", seconds),
             node.sync.directory_trust,
+            node.started,
+        )
+        self._directory = AgentDirectory(
+            lambda host: (
+                self._board.has_left(host)
+                or self._agent.has_lost_power(host, node.now())
+            )
         )
-        self._directory = AgentDirectory(self._board.has_left)
         self._entry_writer = EntryWriter(node.settings.node.name, node.view, node.store)
         self._backend_transport: asyncio.DatagramTransport | None = None
         self._balancers: dict[str, _Balancer] = {}
@@ -98,6 +104,8 @@
         """Serve until SIGTERM."""
         node = self._node
         backend_settings = node.settings.opaque_backend
+        # What the backend server sends is passed on to callers at once.
+        await node.open_caller_socket(self._on_unexpected_packet)
         await open_udp(backend_settings.outbound, self._on_backend_packet)
         loop = asyncio.get_running_loop()
         self._backend_transport, _ = await loop.create_datagram_endpoint(
@@ -118,7 +126,6 @@
             _build_gate_bounds(node)
         )
         await node.open(
-            self._on_unexpected_packet,
             self._on_frame,
             self._on_objects_changed,
             heartbeats,
@@ -144,6 +151,7 @@
             )
             return False
         before = self._gate.report
+        self._agent.on_backend_report()
         self._set_limits(report.service)
         restarted = self._gate.record_report(
             report, node.now(), service_known=own.service is not None
@@ -261,7 +269,7 @@
         elif type(frame) is Owned:
             self._board.record_report(host, frame.load, now)
         elif type(frame) is Inquiry:
-            self._send_effects(self._agent.on_inquiry(host, frame.flows))
+            self._send_effects(self._agent.on_inquiry(host, frame.flows, now))
         elif type(frame) is Findings:
             self._send_effects(self._agent.on_findings(host, frame, now))
 
@@ -427,10 +435,19 @@
             remote_siblings=True,
             remote_balancers=True,
         )
+        server_lost = self._agent.has_lost_server(node.now())
         log_event(
-            "stopping", flows=len(self._agent.flows), backend_left=self._gate.has_left
+            "stopping",
+            flows=len(self._agent.flows),
+            backend_left=self._gate.has_left,
+            server_lost=server_lost,
         )
-        if self._gate.has_left and not self._entry_writer.removed:
+        must_remove = self._gate.has_left and not self._entry_writer.removed
+        if server_lost and self._entry_writer.is_listed:
+            # If the server lives, the next process beside it writes the entry again.
+            self._entry_writer.set_entry(None)
+            must_remove = True
+        if must_remove:
             try:
                 await self._entry_writer.write()
             except PlatformError as error:
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -77,8 +77,8 @@
         node.on_host_answered = self._board.record_alive
         if node.detours is not None:
             self._board.list_detoured = node.detours.list_hosts
+        await node.open_caller_socket(self._on_caller_packet)
         await node.open(
-            self._on_caller_packet,
             self._on_frame,
             self._on_objects_changed,
             heartbeats,
