--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -26,6 +26,7 @@
 from .passthrough_state import PassthroughState
 from .peer_frames import Findings, Forward, Load, LoadReport, Owned, Registered
 from .placement.load_board import LoadBoard
+from .recovery.backend_reports import BackendReport, ProcessStart
 from .recovery.flow_locations import FlowLocations
 from .recovery.flow_search import FlowSearch
 from .recovery.offers import Offers
@@ -55,8 +56,8 @@
     directory_trust : callable
         Returns how complete the directory of agents is at a time on the monotonic
         clock.
-    started_at : float
-        Start of this process on the monotonic clock.
+    process : ProcessStart
+        Start of this process.
     """
 
     def __init__(
@@ -68,13 +69,12 @@
         log_decision: LogDecision,
         observe: Callable[[float], None],
         directory_trust: Callable[[float], DirectoryTrust],
-        started_at: float = 0.0,
+        process: ProcessStart,
     ) -> None:
         flows = FlowTable(gate.end_flow, observe)
         self._state = PassthroughState(
-            host, gate, board, flows, codec, log_decision, directory_trust
+            host, gate, board, flows, codec, log_decision, directory_trust, process
         )
-        self._state.started_at = started_at
         self._locations = FlowLocations(host)
         self._offers = Offers()
         self._openings = OpeningHandler(self._state, self._offers)
@@ -180,9 +180,9 @@
         """Record the owner of flows that have this agent first in their order."""
         self._locations.record_owner(host, flows, now)
 
-    def on_backend_report(self) -> None:
+    def on_backend_report(self, report: BackendReport) -> None:
         """Record that the backend server has reported."""
-        self._state.signs.record_report()
+        self._state.signs.record_report(report)
 
     def has_lost_server(self, now: float) -> bool:
         """Tell whether the backend server beside this agent holds no open flow."""
--- a/src/berylturn/connection/passthrough_state.py
+++ b/src/berylturn/connection/passthrough_state.py
@@ -14,6 +14,7 @@
 from .passthrough_effects import LogDecision
 from .peer_frames import Forward, LoadReport
 from .placement.load_board import LoadBoard
+from .recovery.backend_reports import ProcessStart
 from .recovery.server_signs import ServerSigns
 from .segments import Segment, SegmentCodec
 
@@ -38,6 +39,8 @@
         Logs a decision: event name, flow key, and the inputs as keywords.
     directory_trust : callable
         Returns how complete `agents` is at a time on the monotonic clock.
+    process : ProcessStart
+        Start of this process.
     table : RouteTable
         Routes in force.
     agents : dict of str to list of AgentEntry
@@ -50,8 +53,6 @@
         Whether the agent is shutting down.
     queue : OpeningQueue
         Openings that wait for capacity at the backend server.
-    started_at : float
-        Start of this process on the monotonic clock.
     signs : ServerSigns
         Signs of life of the backend server.
     """
@@ -63,14 +64,17 @@
     codec: SegmentCodec
     log_decision: LogDecision
     directory_trust: Callable[[float], DirectoryTrust]
+    process: ProcessStart
     table: RouteTable = field(default_factory=RouteTable)
     agents: dict[str, list[AgentEntry]] = field(default_factory=dict)
     evacuated: frozenset[str] = frozenset()
     newest: list[int] = field(default_factory=list)
     stopping: bool = False
     queue: OpeningQueue = field(default_factory=OpeningQueue)
-    started_at: float = 0.0
-    signs: ServerSigns = field(default_factory=ServerSigns)
+    signs: ServerSigns = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.signs = ServerSigns(self.process)
 
     def server_missing(self, now: float) -> bool:
         """Tell whether the backend server has shown no sign of life to this process."""
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -179,6 +179,8 @@
         Seconds since the sender's process started.
     has_reported : bool
         Whether the backend server has reported to the sender since then.
+    started_later : bool
+        Whether the backend server started long after the sender.
     """
 
     held: list[tuple[bytes, str]]
@@ -188,6 +190,7 @@
     server_missing: bool = False
     process_seconds: Annotated[float, Meta(ge=0)] = 0.0
     has_reported: bool = True
+    started_later: bool = False
 
 
 class ViewInquiry(msgspec.Struct, array_like=True, tag=8):
--- a/src/berylturn/connection/recovery/flow_search.py
+++ b/src/berylturn/connection/recovery/flow_search.py
@@ -71,9 +71,10 @@
         """
         state = self._state
         own = AgentStart(
-            state.started_at,
+            state.process.at,
             state.gate.started_together,
             state.signs.has_reported,
+            state.signs.started_later,
             now,
         )
         self._starts.record(state.host, own)
@@ -134,8 +135,9 @@
             [],
             self._state.gate.started_together,
             self._state.server_missing(now),
-            max(0.0, now - self._state.started_at),
+            max(0.0, now - self._state.process.at),
             self._state.signs.has_reported,
+            self._state.signs.started_later,
         )
 
     def continue_searches(self, now: float) -> list[PassthroughEffect]:
@@ -198,6 +200,7 @@
                 now - findings.process_seconds,
                 findings.started_together,
                 findings.has_reported,
+                findings.started_later,
                 now,
             ),
         )
--- a/src/berylturn/connection/recovery/power_loss.py
+++ b/src/berylturn/connection/recovery/power_loss.py
@@ -43,6 +43,8 @@
         Whether its server started together with it; None without a report.
     has_reported : bool
         Whether its server has reported to it since.
+    started_later : bool
+        Whether its server started long after the agent, as after a crash.
     heard_at : float
         When it said so.
     """
@@ -50,8 +52,16 @@
     at: float
     started_together: bool | None
     has_reported: bool
+    started_later: bool
     heard_at: float
 
+    @property
+    def is_witness(self) -> bool:
+        """Tell whether the start of its server shows if power was lost."""
+        if self.started_together is None:
+            return False
+        return not (self.started_together and self.started_later)
+
 
 class AgentStarts:
     """Store the newest word of each agent, by IP address."""
@@ -88,7 +98,7 @@
         witnesses = {
             other: start
             for other, start in self._starts.items()
-            if other in data_centres and start.started_together is not None
+            if other in data_centres and start.is_witness
         }
         near = [
             start
--- a/src/berylturn/connection/recovery/server_signs.py
+++ b/src/berylturn/connection/recovery/server_signs.py
@@ -13,14 +13,24 @@
 
 from __future__ import annotations
 
+from .backend_reports import POWER_RETURN_SECONDS, BackendReport, ProcessStart
+
 # Time within which a living server answers an offered packet, on a busy host.
 ANSWER_SECONDS = 0.25
 
 
 class ServerSigns:
-    """Keep whether the own backend server has shown itself to this process."""
+    """Keep whether the own backend server has shown itself to this process.
+
+    Parameters
+    ----------
+    process : ProcessStart
+        Start of this process.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, process: ProcessStart) -> None:
+        self._process = process
+        self._started_later = False
         self._seen = False
         self._has_reported = False
         self._has_ended = False
@@ -36,13 +46,27 @@
         """Tell whether the server has reported to this process, believed or not."""
         return self._has_reported
 
+    @property
+    def started_later(self) -> bool:
+        """Tell whether all reported starts were long after that of this process.
+
+        A start that follows the one of the agent by more than a few seconds is another
+        event, such as a crash, and proves no loss of power.
+        """
+        return self._started_later
+
     @property
     def is_awaited(self) -> bool:
         """Tell whether a packet was offered and the server has not shown itself yet."""
         return not self._seen and self._offered_at is not None
 
-    def record_report(self) -> None:
+    def record_report(self, report: BackendReport) -> None:
         """Record a report of the server, also one that may be a late one."""
+        latest_ms = self._process.unix_ms + 1000 * POWER_RETURN_SECONDS
+        is_later = report.started_ms > latest_ms
+        self._started_later = is_later and (
+            self._started_later or not self._has_reported
+        )
         self._has_reported = True
         self.record_sign()
 
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -72,7 +72,8 @@
 
     def __init__(self, node: PassthroughNode) -> None:
         self._node = node
-        self._gate = OpeningGate(_build_gate_bounds(node), _find_process_start(node))
+        process = _find_process_start(node)
+        self._gate = OpeningGate(_build_gate_bounds(node), process)
         self._board = LoadBoard()
         self._agent = PassthroughAgent(
             node.host,
@@ -82,7 +83,7 @@
             node.log_decision,
             lambda seconds: node.metrics.time("response", seconds),
             node.sync.directory_trust,
-            node.started,
+            process,
         )
         self._directory = AgentDirectory(
             lambda host: (
@@ -147,7 +148,7 @@
             )
             return False
         before = self._gate.report
-        self._agent.on_backend_report()
+        self._agent.on_backend_report(report)
         self._set_limits(report.service)
         restarted = self._gate.record_report(
             report, node.now(), service_known=own.service is not None
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -167,7 +167,7 @@
             self._log_decision,
             lambda seconds: None,
             lambda now: DirectoryTrust(name not in self.uncertain, self.known_seconds),
-            process.at,
+            process,
         )
         self.agents[name] = rules
         rules.set_table(self.table)
@@ -222,10 +222,9 @@
         }
         values.update(changes)
         self.agents[name].set_slots(values["slots"])
-        restarted = self.gates[name].record_report(
-            BackendReport(**values), self.now, service_known
-        )
-        self.agents[name].on_backend_report()
+        report = BackendReport(**values)
+        restarted = self.gates[name].record_report(report, self.now, service_known)
+        self.agents[name].on_backend_report(report)
         if restarted:
             self._run_effects(name, self.agents[name].on_backend_restarted())
         return restarted
