Let openings at cold servers wait for a place, or come back when there is one

Cause: after all servers had restarted, callers were refused as cold, late or waited within milliseconds and used up their retries, though the cold start ends at a known time. Its queue was taken for overload. Change: an opening waits while the cold limit admits it in time or its attempt outlasts the cold start; if only its request does, it is told to come back once the next attempt outlasts it; else it is refused at once. The backlog of a cold start is no overload for one attempt, and of its late openings the attempt that ends first goes first.

--- a/src/berylturn/connection/admission/opening_gate.py
+++ b/src/berylturn/connection/admission/opening_gate.py
@@ -219,6 +219,37 @@
         """Tell whether the server is in cold start."""
         return now < self._cold_until
 
+    @property
+    def cold_until(self) -> float:
+        """Return when the cold start ends, or has ended."""
+        return self._cold_until
+
+    def next_cold_place(self, ahead: int, now: float) -> float:
+        """Return when the cold limit admits one more opening.
+
+        Parameters
+        ----------
+        ahead : int
+            Number of queued openings that are admitted before it.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        limit = self._cold_opening_limit()
+        if limit < 1:
+            return self._cold_until
+        opens_at = now
+        if not self._reports.saw_start:
+            opens_at = max(now, self._started + COLD_WINDOW_SECONDS)
+        self._expire_openings(now)
+        recent = self._recent_openings
+        later = ahead - (limit - len(recent))
+        if later < 0:
+            return min(opens_at, self._cold_until)
+        rounds, place = divmod(later, limit)
+        freed_at = recent[place] if place < len(recent) else opens_at
+        freed_at += (rounds + 1) * COLD_WINDOW_SECONDS
+        return min(max(opens_at, freed_at), self._cold_until)
+
     def refusal(self, service: str, now: float) -> str | None:
         """Return the reason why an opening is refused now, or None if admitted."""
         report = self.report
--- a/src/berylturn/connection/admission/opening_queue.py
+++ b/src/berylturn/connection/admission/opening_queue.py
@@ -43,6 +43,8 @@
         infinity if the route states none.
     expires_at : float
         Time from which an admission has no use for the caller.
+    request_ends_at : float
+        Time from which an admission in a later attempt has no use for it either.
     """
 
     frame: Forward
@@ -52,6 +54,12 @@
     priority: int = 0
     useful_until: float = math.inf
     expires_at: float = math.inf
+    request_ends_at: float = math.inf
+
+    @property
+    def has_objective(self) -> bool:
+        """Tell whether the route states a latency objective."""
+        return math.isfinite(self.useful_until)
 
 
 class OpeningQueue:
@@ -60,12 +68,20 @@
     Openings that can still be answered within their latency objective come first, by
     priority and then by how soon they must be admitted. Of the others, and of those
     without an objective, the newest of a priority comes first: the callers of the
-    oldest are about to give up (adaptive LIFO: Maurer, Fail at Scale, 2015).
+    oldest are about to give up (adaptive LIFO: Maurer, Fail at Scale, 2015). A backlog
+    whose cause has an end is worked off: there, the attempt that ends first comes
+    first.
+
+    Attributes
+    ----------
+    backlog_until : float
+        Time until which what waits is due to a cold start, and not to overload.
     """
 
     def __init__(self) -> None:
         self._openings: dict[bytes, QueuedOpening] = {}
         self._waiting_since: float | None = None
+        self.backlog_until = -math.inf
 
     def __len__(self) -> int:
         return len(self._openings)
@@ -77,13 +93,14 @@
         """Tell whether openings have waited for so long that it is no mere burst."""
         return (
             self._waiting_since is not None
+            and now >= self.backlog_until
             and now - self._waiting_since > BURST_SECONDS
         )
 
     def count_ahead(self, opening: QueuedOpening, now: float) -> int:
         """Return how many queued openings would be admitted before another one."""
-        rank = _rank(opening, now)
-        return sum(_rank(item, now) < rank for item in self._openings.values())
+        rank = self._rank(opening, now)
+        return sum(self._rank(item, now) < rank for item in self._openings.values())
 
     def add(self, opening: QueuedOpening) -> None:
         """Add an opening."""
@@ -91,9 +108,13 @@
             self._waiting_since = opening.arrived_at
         self._openings[opening.segment.flow] = opening
 
+    def ordered(self, now: float) -> list[QueuedOpening]:
+        """Return the queued openings in the order of their admission."""
+        return sorted(self._openings.values(), key=lambda item: self._rank(item, now))
+
     def peek(self, now: float) -> QueuedOpening:
         """Return the next opening to be admitted."""
-        return min(self._openings.values(), key=lambda item: _rank(item, now))
+        return min(self._openings.values(), key=lambda item: self._rank(item, now))
 
     def remove(self, opening: QueuedOpening) -> None:
         """Remove an opening."""
@@ -113,7 +134,7 @@
         excess = len(self._openings) - min(limit, MAX_QUEUED)
         if excess <= 0:
             return []
-        ordered = sorted(self._openings.values(), key=lambda item: _rank(item, now))
+        ordered = self.ordered(now)
         for opening in ordered[-excess:]:
             self.remove(opening)
         return ordered[-excess:]
@@ -125,13 +146,17 @@
             self.remove(opening)
         return expired
 
+    def _rank(self, opening: QueuedOpening, now: float) -> tuple[bool, int, float]:
+        in_time = opening.has_objective and now <= opening.useful_until
+        if in_time:
+            order = opening.useful_until
+        elif now < self.backlog_until:
+            order = opening.expires_at
+        else:
+            order = -opening.arrived_at
+        return not in_time, opening.priority, order
+
 
 def remaining_attempt_seconds(segment: Segment) -> float:
     """Return the seconds until an answer is too late for the caller of an opening."""
     return ATTEMPT_SECONDS - TRANSIT_SECONDS - segment.opening_age
-
-
-def _rank(opening: QueuedOpening, now: float) -> tuple[bool, int, float]:
-    in_time = math.isfinite(opening.useful_until) and now <= opening.useful_until
-    order = opening.useful_until if in_time else -opening.arrived_at
-    return not in_time, opening.priority, order
--- a/src/berylturn/connection/admission/passthrough_openings.py
+++ b/src/berylturn/connection/admission/passthrough_openings.py
@@ -10,6 +10,11 @@
 from ..placement.work_meter import WorkMeter
 from ..recovery.offers import Offers
 from ..segments import Segment
+from .cold_start import (
+    ColdStart,
+    Prospect,
+    judge_opening,
+)
 from .opening_queue import (
     ATTEMPT_SECONDS,
     MAX_QUEUED,
@@ -88,6 +93,8 @@
         if self._is_overloaded(now):
             for opening in self._queue.pop_late(now):
                 effects += self._refuse(opening.frame, opening.segment, "late", now)
+        elif self._state.gate.is_cold(now):
+            effects += self._end_hopeless(now)
         while self._queue and self._has_capacity_for_queued(now):
             opening = self._queue.peek(now)
             reason = self._state.gate.refusal(opening.service, now)
@@ -147,7 +154,31 @@
         work arrives than the server can process, there is no such time, and a caller
         that is told late would only try again.
         """
-        return self._meter.has_short_flows and self._queue.is_congested(now)
+        return (
+            self._meter.has_short_flows
+            and not self._state.gate.is_cold(now)
+            and self._queue.is_congested(now)
+        )
+
+    def _end_hopeless(self, now: float) -> list[PassthroughEffect]:
+        """Refuse queued openings that no longer get a place at a cold server."""
+        gate, effects = self._state.gate, []
+        cold = self._cold_start()
+        self._queue.backlog_until = cold.backlog_until(len(self._queue))
+        for ahead, opening in enumerate(self._queue.ordered(now)):
+            if not opening.has_objective:
+                continue
+            place_at = gate.next_cold_place(ahead, now)
+            # Some of those ahead leave before the end of the cold start.
+            prospect = judge_opening(opening, cold, place_at, 0, now)
+            if prospect in (Prospect.COME_BACK, Prospect.NONE):
+                reason = "come_back" if prospect is Prospect.COME_BACK else "late"
+                self._queue.remove(opening)
+                effects += self._refuse(opening.frame, opening.segment, reason, now)
+        return effects
+
+    def _cold_start(self) -> ColdStart:
+        return ColdStart(self._state.gate.cold_until, self._meter.seconds_per_request)
 
     def _expected_wait(self, reason: str, now: float) -> float | None:
         """Return the seconds until an opening is admitted here, None if never."""
@@ -194,14 +225,47 @@
             chosen = self._choose_sooner_sibling(frame, segment, service, now)
         else:
             chosen = self._choose_sibling(frame, segment, service, not is_cold, now)
+        if chosen is None and is_cold:
+            return self._wait_while_cold(frame, segment, service, now)
         if chosen is None:
             wait = self._expected_wait(reason, now)
             if wait is not None and wait <= remaining_attempt_seconds(segment):
                 return self._enqueue(frame, segment, service, reason, wait, now)
-            if is_cold:
-                chosen = self._choose_sibling(frame, segment, service, True, now)
-        if chosen is None:
             return self._refuse(frame, segment, reason, now)
+        return self._pass_on(frame, segment, service, reason, chosen, now)
+
+    def _wait_while_cold(
+        self, frame: Forward, segment: Segment, service: str, now: float
+    ) -> list[PassthroughEffect]:
+        """Queue, pass on or refuse an opening that the cold limit does not admit."""
+        opening = self._make_queued(frame, segment, service, now)
+        if opening.has_objective:
+            ahead = self._queue.count_ahead(opening, now)
+            place_at = self._state.gate.next_cold_place(ahead, now)
+            prospect = judge_opening(opening, self._cold_start(), place_at, ahead, now)
+        else:
+            place_at = now + self._expected_wait("cold", now)
+            fits = place_at <= opening.expires_at
+            prospect = Prospect.PLACE if fits else Prospect.NONE
+        if prospect is not Prospect.PLACE:
+            chosen = self._choose_sibling(frame, segment, service, True, now)
+            if chosen is not None:
+                return self._pass_on(frame, segment, service, "cold", chosen, now)
+        if prospect in (Prospect.PLACE, Prospect.NEXT_ATTEMPT):
+            wait = place_at - now
+            return self._enqueue(frame, segment, service, "cold", wait, now)
+        reason = "come_back" if prospect is Prospect.COME_BACK else "cold"
+        return self._refuse(frame, segment, reason, now)
+
+    def _pass_on(
+        self,
+        frame: Forward,
+        segment: Segment,
+        service: str,
+        reason: str,
+        chosen: AgentEntry,
+        now: float,
+    ) -> list[PassthroughEffect]:
         self._state.board.record_opening(chosen.host)
         self._state.board.expect_answer(chosen.host, now)
         visited = [*frame.visited, self._state.host]
@@ -316,6 +380,7 @@
         in_server += meter.expected_service_seconds
         remaining = meter.gap_seconds + in_server + RETURN_SECONDS
         attempt_ends_at = now + remaining_attempt_seconds(segment)
+        request_ends_at = first_sent_at + route.timeout_seconds - remaining
         return QueuedOpening(
             frame,
             segment,
@@ -323,7 +388,8 @@
             now,
             route.priority,
             first_sent_at + route.aim_seconds - remaining,
-            min(attempt_ends_at, first_sent_at + route.timeout_seconds - remaining),
+            min(attempt_ends_at, request_ends_at),
+            request_ends_at,
         )
 
     def _refuse(
