Teach the soak the new parts: loss of power, failing servers, a cut between data centres

Change: a further soak switches on every part that settings can, adds a third data centre and draws two of three new faults beside those that its seed had, so that the seeds kept as regressions play as before.

--- a/src/berylturn_standins/opaque.py
+++ b/src/berylturn_standins/opaque.py
@@ -130,6 +130,8 @@
         How often it ran each request.
     forged : int
         Packets without the checksum that every caller writes.
+    fails : bool
+        Whether it resets each flow on which a request arrives, and runs none.
     """
 
     host: str
@@ -142,6 +144,7 @@
     opened: list[Opening] = field(default_factory=list)
     run_counts: Counter[bytes] = field(default_factory=Counter)
     forged: int = 0
+    fails: bool = False
     _flows: dict[tuple, _BackendFlow] = field(default_factory=dict)
     _sequence: int = 0
     _cold_since: float = 0.0
@@ -231,6 +234,9 @@
             flags = bytes([data[FLAGS_OFFSET] | BOUNCED])
             bounced = data[:FLAGS_OFFSET] + flags + data[FLAGS_OFFSET + 1 :]
             self._transport.sendto(bounced, (self.host, self.ports.outbound))
+        elif body and self.fails:
+            del self._flows[key]
+            self._send(header, header.acknowledged, RST, flow.caller_next)
         elif body:
             if header.sequence == flow.caller_next:
                 flow.caller_next += len(body)
--- a/src/berylturn_standins/opaque_deployment.py
+++ b/src/berylturn_standins/opaque_deployment.py
@@ -51,6 +51,8 @@
         Whether fault proxies relay between daemons, and from daemons to the platform.
     fan_out : int
         How many daemons ask the same daemon for changes.
+    settings : str
+        Further lines of the settings of all daemons.
     """
 
     def __init__(
@@ -61,7 +63,9 @@
         network: int = 0,
         proxied: bool = False,
         fan_out: int = 16,
+        settings: str = "",
     ) -> None:
+        self.settings = settings
         base_octet = 10 * network + 6
         self.ports = Ports()
         names = [*balancers, *agents]
@@ -332,4 +336,4 @@
                 "cold_slack = 5",
                 f"service = {self.agents[name][1]}",
             ]
-        return "\n".join(lines) + "\n"
+        return "\n".join(lines) + "\n" + self.settings
--- a/src/berylturn_standins/soak.py
+++ b/src/berylturn_standins/soak.py
@@ -17,10 +17,15 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, network: int, folder: Path, fan_out: int = 16
+    seed: int,
+    seconds: float,
+    network: int,
+    folder: Path,
+    fan_out: int = 16,
+    further: bool = False,
 ) -> list[str]:
     """Run one seed and return the violations; keep the logs if there are any."""
-    soak = Soak(seed, seconds, network, fan_out)
+    soak = Soak(seed, seconds, network, fan_out, further)
     violations = await soak.run()
     if violations:
         soak.write_logs(folder / f"seed-{seed}")
@@ -37,6 +42,7 @@
     network: int = 0,
     folder: str = "run/soak",
     fan_out: int = 16,
+    further: bool = True,
 ) -> None:
     """Run `count` seeds one after the other; exit with 1 if any had violations."""
     # SIGTERM raises KeyboardInterrupt, so that the daemons are ended too.
@@ -44,7 +50,9 @@
     failed_seeds = [
         number
         for number in range(seed, seed + count)
-        if asyncio.run(run_seed(number, seconds, network, Path(folder), fan_out))
+        if asyncio.run(
+            run_seed(number, seconds, network, Path(folder), fan_out, further)
+        )
     ]
     print(f"{count} seeds played, broken: {failed_seeds}")
     sys.exit(1 if failed_seeds else 0)
--- a/src/berylturn_standins/soak_plan.py
+++ b/src/berylturn_standins/soak_plan.py
@@ -44,10 +44,15 @@
     CONFIGURE = "configure"
     EVACUATE = "evacuate"
     ODD_ENTRIES = "odd_entries"
+    POWER_LOSS = "power_loss"
+    SERVER_FAILS = "server_fails"
+    CENTRES_CUT = "centres_cut"
 
 
+# Faults that a further soak draws as well, beside those that the same seed always had.
+FURTHER = (Fault.POWER_LOSS, Fault.SERVER_FAILS, Fault.CENTRES_CUT)
 # Faults that a seed draws; another writer leaves odd entries in each soak.
-DRAWN = tuple(fault for fault in Fault if fault is not Fault.ODD_ENTRIES)
+DRAWN = tuple(f for f in Fault if f not in (Fault.ODD_ENTRIES, *FURTHER))
 # Faults that disturb the service; the others are planned changes.
 UNPLANNED = frozenset(
     fault
@@ -87,8 +92,20 @@
     share: float
 
 
-def plan_faults(seed: int, seconds: float) -> list[ScheduledFault]:
-    """Return the faults of a seed in the order of their starts."""
+def plan_faults(
+    seed: int, seconds: float, further: bool = False
+) -> list[ScheduledFault]:
+    """Return the faults of a seed in the order of their starts.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the faults.
+    seconds : float
+        Duration of the soak.
+    further : bool
+        Whether faults of `FURTHER` are added to those of the seed.
+    """
     generator = random.Random(seed)
     schedule: list[ScheduledFault] = []
     starts_at = CALM_START_SECONDS
@@ -105,4 +122,9 @@
         starts_at += generator.uniform(*GAP_SECONDS)
     odd_at = generator.uniform(CALM_START_SECONDS, seconds - LONGEST_FAULT_SECONDS)
     schedule.append(ScheduledFault(odd_at, Fault.ODD_ENTRIES, 0.0, 0.0, 0.0))
+    for fault in generator.sample(FURTHER, k=2) if further else ():
+        at = generator.uniform(CALM_START_SECONDS, seconds - LONGEST_FAULT_SECONDS)
+        duration = generator.uniform(1.0, LONGEST_FAULT_SECONDS)
+        picks = generator.random(), generator.random()
+        schedule.append(ScheduledFault(at, fault, duration, *picks))
     return sorted(schedule, key=lambda scheduled: scheduled.starts_at)
--- a/src/berylturn_standins/soak_play.py
+++ b/src/berylturn_standins/soak_play.py
@@ -27,6 +27,20 @@
     "side-b1": ("dc-b", "desk"),
     "side-b2": ("dc-b", "room"),
 }
+# With a third data centre, which reaches the two others while these are cut off.
+FURTHER_AGENTS = {**AGENTS, "side-c1": ("dc-c", "desk")}
+FURTHER_SETTINGS = """
+[outliers]
+mode = eject
+[placement]
+policy = mixed
+[fairness]
+callers = address
+[second_offers]
+share = 0.05
+[detours]
+mode = on
+"""
 CALLERS = 24
 REQUESTS_PER_FLOW = 12
 PAUSE_SECONDS = 0.05
@@ -69,17 +83,32 @@
         Number of the block of loopback addresses to use.
     fan_out : int
         How many daemons ask the same daemon for changes.
+    further : bool
+        Whether to switch on all parts that settings can, and to cause the faults that
+        they answer.
     """
 
     def __init__(
-        self, seed: int, seconds: float, network: int = 0, fan_out: int = 16
+        self,
+        seed: int,
+        seconds: float,
+        network: int = 0,
+        fan_out: int = 16,
+        further: bool = False,
     ) -> None:
-        self.schedule = plan_faults(seed, seconds)
+        self.schedule = plan_faults(seed, seconds, further)
+        self.agents = FURTHER_AGENTS if further else AGENTS
         self.seconds = seconds
         self.violations: list[str] = []
         self.counts: Counter[str] = Counter()
         self.deployment = OpaqueDeployment(
-            BALANCERS, AGENTS, bool(seed % 2), network, proxied=True, fan_out=fan_out
+            BALANCERS,
+            self.agents,
+            bool(seed % 2),
+            network,
+            proxied=True,
+            fan_out=fan_out,
+            settings=FURTHER_SETTINGS if further else "",
         )
         self._started = 0.0
         self._disturbed_until = 0.0
@@ -194,12 +223,27 @@
             await asyncio.gather(
                 *(self._signal_daemon(name, scheduled) for name in names)
             )
+        elif fault is Fault.POWER_LOSS:
+            daemons = [self._signal_daemon(n, scheduled) for n in self.deployment.hosts]
+            servers = [
+                self._restart_server(name, Fault.SERVER_RESTART) for name in self.agents
+            ]
+            await asyncio.gather(*daemons, *servers)
+        elif fault is Fault.SERVER_FAILS:
+            server = self.deployment.backends[_pick(list(self.agents), scheduled.pick)]
+            server.fails = True
+            await asyncio.sleep(scheduled.seconds)
+            server.fails = False
+        elif fault is Fault.CENTRES_CUT:
+            await self._cut_data_centres("dc-a", "dc-b", scheduled.seconds)
         elif fault in PLATFORM_MODES:
             await self._fail_platform_calls(PLATFORM_MODES[fault], scheduled)
         elif fault in (Fault.SERVER_RESTART, Fault.SERVER_CLOCK_BACK):
-            await self._restart_server(_pick(list(AGENTS), scheduled.pick), fault)
+            await self._restart_server(_pick(list(self.agents), scheduled.pick), fault)
         elif fault is Fault.SERVER_DRAIN:
-            await self._drain_server(_pick(list(AGENTS), scheduled.pick), scheduled)
+            await self._drain_server(
+                _pick(list(self.agents), scheduled.pick), scheduled
+            )
         elif fault is Fault.CONFIGURE:
             await self._configure(scheduled)
         elif fault is Fault.ODD_ENTRIES:
@@ -273,7 +317,7 @@
         elif scheduled.fault is Fault.HISTORY_GONE:
             await self.deployment.platform.forget_history()
         elif scheduled.fault is Fault.ENTRY_LAPSES:
-            entry = _pick(list(AGENTS), scheduled.pick)
+            entry = _pick(list(self.agents), scheduled.pick)
             if entry in self.deployment.platform.names("berylturn-agents"):
                 await self.deployment.platform.remove("berylturn-agents", entry)
         elif scheduled.fault in (Fault.PLATFORM_CUT, Fault.PEERS_CUT):
@@ -299,6 +343,21 @@
             await asyncio.sleep(scheduled.seconds)
             peer_proxy.faults.drop = peer_proxy.faults.delay = 0.0
 
+    async def _cut_data_centres(self, one: str, other: str, seconds: float) -> None:
+        """Let no frame pass between two data centres."""
+        deployment = self.deployment
+        places = {n: centre for n, (centre, _) in self.agents.items()} | BALANCERS
+        hosts = {
+            centre: {deployment.hosts[n] for n, c in places.items() if c == centre}
+            for centre in (one, other)
+        }
+        for name, centre in places.items():
+            blocked = {one: hosts[other], other: hosts[one]}.get(centre, set())
+            deployment.peer_proxies[name].block_hosts(blocked)
+        await asyncio.sleep(seconds)
+        for proxy in deployment.peer_proxies.values():
+            proxy.block_hosts(set())
+
     async def _restart_server(self, name: str, fault: Fault) -> None:
         server = self.deployment.backends[name]
         if server.state == "draining" or name in self._restarting:
@@ -352,7 +411,7 @@
         since = max(
             self._evacuated_at.pop(data_centre) + EVACUATION_SECONDS, stable_from
         )
-        for name, (agent_data_centre, _) in AGENTS.items():
+        for name, (agent_data_centre, _) in self.agents.items():
             opened = self.deployment.backends[name].opened
             if agent_data_centre == data_centre and any(o.time > since for o in opened):
                 self._record_violation(
@@ -385,7 +444,9 @@
             )
         await asyncio.sleep(max(0.0, entries_due - CLOCK.monotonic()))
         entries = self.deployment.platform.names("berylturn-agents")
-        if {name for name in entries if not name.startswith(ODD_PREFIX)} != set(AGENTS):
+        if {name for name in entries if not name.startswith(ODD_PREFIX)} != set(
+            self.agents
+        ):
             self._record_violation(f"agent entries in the platform: {sorted(entries)}")
 
     def _check_servers(self) -> None:
@@ -402,7 +463,7 @@
                 self._record_violation(f"{content.decode()} ran {count} times")
 
     def _check_opening(self, name: str, opening: Opening) -> None:
-        service = AGENTS[name][1]
+        service = self.agents[name][1]
         sent_at = self._sent_at.get(opening.caller)
         if sent_at is None:
             self._record_violation(f"{name}: flow opened that no caller asked for")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -81,5 +81,5 @@
     def test_seeds_cover_every_fault(self) -> None:
         planned: list[ScheduledFault] = []
         for seed in range(1, 51):
-            planned += plan_faults(seed, SOAK_SECONDS)
+            planned += plan_faults(seed, SOAK_SECONDS, further=True)
         self.assertEqual(set(Fault), {scheduled.fault for scheduled in planned})
