Send from a new port when a channel to a peer forwards nothing

Cause: a report that an agent sends by itself ended the wait for its answer, so a balancer whose frames to it went nowhere took it for well and placed every opening there.

--- a/src/berylturn/connection/passthrough_router.py
+++ b/src/berylturn/connection/passthrough_router.py
@@ -162,7 +162,8 @@
 
     def on_frame(self, host: str, frame: Owned | Load, now: float) -> None:
         """Handle a frame from an agent."""
-        self._board.record_report(host, frame.load, now)
+        is_answer = type(frame) is Owned or frame.is_answer
+        self._board.record_report(host, frame.load, now, is_answer)
         if type(frame) is Owned:
             self._hints.pop(frame.flow, None)
             self._hints[frame.flow] = _Hint(host, now)
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -123,9 +123,18 @@
 
 
 class Load(msgspec.Struct, array_like=True, tag=4):
-    """Report the load of the sender's backend server to siblings and balancers."""
+    """Report the load of the sender's backend server to siblings and balancers.
+
+    Attributes
+    ----------
+    load : LoadReport
+        The report.
+    is_answer : bool
+        Whether it answers a frame of the receiver.
+    """
 
     load: LoadReport
+    is_answer: bool = True
 
 
 class Probe(msgspec.Struct, array_like=True, tag=5):
--- a/src/berylturn/connection/placement/load_board.py
+++ b/src/berylturn/connection/placement/load_board.py
@@ -28,6 +28,10 @@
 REPORT_TTL_SECONDS = 2.0
 # An answer between nodes takes milliseconds; the rest allows for slow nodes.
 ANSWER_TIMEOUT_SECONDS = 0.15
+# Questions without an answer, and the time for that, from which frames to a host count
+# as lost although its reports arrive: a link may be cut one way.
+MIN_UNANSWERED = 3
+UNANSWERED_SECONDS = 0.5
 # Share of busy slots from which a server is chosen only if all others are as busy.
 FULL_PRESSURE = 0.6
 # Estimated share of a slot that a new flow uses, until the next report includes it.
@@ -44,6 +48,9 @@
     reported_at: float = 0.0
     openings_since_report: int = 0
     awaiting_answer_since: float | None = None
+    # Questions that got no answer; a report sent by itself is none.
+    unanswered: int = 0
+    unanswered_since: float = 0.0
 
 
 class LoadBoard:
@@ -54,10 +61,26 @@
         # Returns the hosts that only a detour reaches; they get no new flows.
         self.list_detoured: Callable[[], Collection[str]] = tuple
 
-    def record_report(self, host: str, report: LoadReport | None, now: float) -> None:
-        """Record that an agent is alive, and its load report if there is one."""
+    def record_report(
+        self, host: str, report: LoadReport | None, now: float, is_answer: bool = True
+    ) -> None:
+        """Record that an agent is alive, and its load report if there is one.
+
+        Parameters
+        ----------
+        host : str
+            IP address of the agent.
+        report : LoadReport or None
+            Its load report.
+        now : float
+            Seconds on the monotonic clock.
+        is_answer : bool
+            Whether it answers a frame, so that frames to the agent arrive.
+        """
         peer = self._peers.setdefault(host, _Peer())
         peer.awaiting_answer_since = None
+        if is_answer:
+            peer.unanswered = 0
         if report is not None:
             peer.report = report
             peer.reported_at = now
@@ -72,6 +95,9 @@
         peer = self._peers.setdefault(host, _Peer())
         if peer.awaiting_answer_since is None:
             peer.awaiting_answer_since = now
+        if not peer.unanswered:
+            peer.unanswered_since = now
+        peer.unanswered += 1
 
     def record_opening(self, host: str) -> None:
         """Record that an opening was sent to an agent."""
@@ -98,6 +124,32 @@
             return 0.0
         return now - peer.awaiting_answer_since
 
+    def is_overdue(self, host: str, now: float) -> bool:
+        """Tell whether frames to an agent seem not to arrive, or not its answers."""
+        return self.is_suspect(host, now) or self._is_unanswered(
+            host, UNANSWERED_SECONDS, now
+        )
+
+    def list_silent(self, seconds: float, now: float) -> list[str]:
+        """Return the hosts that have answered nothing for some time.
+
+        Parameters
+        ----------
+        seconds : float
+            How long answers have been awaited.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        return [h for h in self._peers if self._is_unanswered(h, seconds, now)]
+
+    def _is_unanswered(self, host: str, seconds: float, now: float) -> bool:
+        peer = self._peers.get(host)
+        return (
+            peer is not None
+            and peer.unanswered >= MIN_UNANSWERED
+            and now - peer.unanswered_since > seconds
+        )
+
     def fresh_report(self, host: str, now: float) -> LoadReport | None:
         """Return an agent's report, or None if there is none or it has expired."""
         peer = self._peers.get(host)
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -119,10 +119,7 @@
             *(sibling.host for sibling in self._siblings),
         ]
         node.describe = self._describe_state
-        node.is_overdue = self._board.is_suspect
-        node.on_host_answered = self._board.record_alive
-        if node.detours is not None:
-            self._board.list_detoured = node.detours.list_hosts
+        node.follow_board(self._board)
         node.on_settings_reloaded = lambda: self._gate.set_bounds(
             _build_gate_bounds(node)
         )
@@ -260,7 +257,7 @@
         elif type(frame) is Registered:
             self._agent.on_registered(host, frame.flows, now)
         elif type(frame) is Load:
-            self._board.record_report(host, frame.load, now)
+            self._board.record_report(host, frame.load, now, frame.is_answer)
             self._node.sync.handle_peer_revisions(host, frame.load.newest)
         elif type(frame) is Probe:
             self._record_balancer(host, frame.data_centre, now)
@@ -328,7 +325,7 @@
         They pass on what they cannot process, and a request lasts only milliseconds.
         """
         self._sibling_report_scheduled = False
-        frame = Load(self._agent.load_report(self._node.now()))
+        frame = Load(self._agent.load_report(self._node.now()), is_answer=False)
         for sibling in self._siblings:
             self._node.send(sibling.host, frame)
 
@@ -396,7 +393,7 @@
         """Send a load report to peers near by, and to those elsewhere if wanted."""
         self._last_sent_state = (load.accepting, load.cold)
         own_data_centre = self._node.settings.node.data_centre
-        frame = Load(load)
+        frame = Load(load, is_answer=False)
         for sibling in self._siblings:
             if remote_siblings or sibling.data_centre == own_data_centre:
                 self._node.send(sibling.host, frame)
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -73,10 +73,7 @@
         node = self._node
         node.list_known_peers = self._list_recent_agents
         node.describe = self._describe_state
-        node.is_overdue = self._board.is_suspect
-        node.on_host_answered = self._board.record_alive
-        if node.detours is not None:
-            self._board.list_detoured = node.detours.list_hosts
+        node.follow_board(self._board)
         await node.open_caller_socket(self._on_caller_packet)
         await node.open(
             self._on_frame,
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -21,6 +21,7 @@
     decode_frame,
     encode_frame,
 )
+from ..connection.placement.load_board import LoadBoard
 from ..connection.recovery.detours import Detours
 from ..connection.segments import SegmentCodec, describe_flow
 from ..errors import PacketError, PlatformError
@@ -38,6 +39,7 @@
     ObjectStore,
     ObjectView,
 )
+from .peer_channels import REBIND_AFTER_SECONDS, PeerChannels
 from .settings import PassthroughAgentSettings, PassthroughBalancerSettings
 from .settings_file import SettingsFile
 from .sockets import Address, open_udp
@@ -109,7 +111,7 @@
         self._decode_table = decode_table
         self._on_objects_changed: Callable[[Kind], None] = lambda kind: None
         self._caller_transport: asyncio.DatagramTransport | None = None
-        self._peer_transport: asyncio.DatagramTransport | None = None
+        self._channels: PeerChannels | None = None
         self._entry_reader = EntryReader()
         self._relayed_kinds = choose_relayed_kinds(settings)
         self.sync = ViewSync(
@@ -135,6 +137,8 @@
                 settings.node.data_centre,
                 lambda event, **inputs: self.log_decision(event, b"", **inputs),
             )
+        # Returns the hosts that have owed an answer for long, at a time.
+        self.list_silent: Callable[[float], list[str]] = lambda now: []
         # Tells whether an answer of a host is overdue at a time.
         self.is_overdue: Callable[[str, float], bool] = lambda host, now: False
         self.on_host_answered: Callable[[str, float], None] = lambda host, now: None
@@ -189,9 +193,12 @@
         """Open the other sockets, start the tasks and start to watch the platform."""
         addresses = self.settings.passthrough
         self._on_objects_changed = on_objects_changed
-        self._peer_transport = await open_udp(
+        peer_transport = await open_udp(
             (self.bind_host, addresses.peer_port), self._make_frame_receiver(on_frame)
         )
+        self._channels = PeerChannels(
+            peer_transport, self.bind_host, addresses.peer_port
+        )
         await serve_http(addresses.ready, readiness)
         await serve_http(addresses.heartbeats, heartbeats)
         await serve_http((self.bind_host, addresses.peer_port), self._serve_peer)
@@ -246,15 +253,28 @@
                 return
         self._send_directly(host, frame)
 
+    def follow_board(self, board: LoadBoard) -> None:
+        """Take from a node's load board which hosts owe an answer, and tell it of ways.
+
+        Parameters
+        ----------
+        board : LoadBoard
+            Load reports of the node, and the answers that it awaits.
+        """
+        self.is_overdue = board.is_overdue
+        self.on_host_answered = board.record_alive
+        self.list_silent = lambda now: board.list_silent(REBIND_AFTER_SECONDS, now)
+        if self.detours is not None:
+            board.list_detoured = self.detours.list_hosts
+
     def _send_by_relay(self, relay: str, host: str, frame: PeerFrame) -> None:
         self._send_directly(relay, Detour(self.host, host, encode_frame(frame)))
 
     def _send_directly(self, host: str, frame: PeerFrame) -> None:
-        port = self.settings.passthrough.peer_port
         data = encode_frame(frame)
         self.frames.record(type(frame).__name__, host, len(data))
         try:
-            self._peer_transport.sendto(data, (host, port))
+            self._channels.send(host, data)
         except (OSError, ValueError) as error:
             self.record_drop("peer_address", error)
 
@@ -424,6 +444,7 @@
                 log_event("frames_sent", counts=self.frames.pop_recent())
             self.event_log.start_second()
             self._probe_paths()
+            await self._channels.rebind(self.list_silent(self.now()))
             self.metrics.gauge("task_failures", self.tasks.failures)
             if self._file.has_changed():
                 self._reload()
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -69,7 +69,7 @@
         return not is_cut and super()._reaches(sender, receiver)
 
     def _reaches(self, sender: str, receiver: str) -> bool:
-        is_overdue = self.boards[sender].is_suspect(receiver, self.now)
+        is_overdue = self.boards[sender].is_overdue(receiver, self.now)
         relay = self.detours[sender].choose_relay(receiver, is_overdue, self.now)
         if relay is None:
             passed = self.passes(sender, receiver)
--- a/tests/test_passthrough_daemons.py
+++ b/tests/test_passthrough_daemons.py
@@ -25,6 +25,8 @@
     "side-r1": ("dc-a", "room"),
 }
 FLOWS = 12
+# Attempts of 1.4 s within which each balancer notices that its channel is silent.
+REBIND_ATTEMPTS = 4
 # Time within which a configuration is in force on every daemon.
 CONFIGURATION_SECONDS = 3.0
 
@@ -412,6 +414,26 @@
                 )
             await self.assert_in_force_in_time(deployment, 8)
 
+    @run_async
+    async def test_channel_to_an_agent_goes_silent(self) -> None:
+        # What is between the balancers and the only agent of a service loses track of
+        # their channels to it, and forwards nothing on them any more.
+        async with OpaqueDeployment(BALANCERS, AGENTS, proxied=True) as deployment:
+            await deployment.configure(7, room=1.0)
+            for name in BALANCERS:
+                await deployment.wait_until(
+                    lambda n=name: '"version":7' in deployment.read_log(n)
+                )
+            self.assertTrue(await open_flows(deployment))
+            deployment.peer_proxies["side-r1"].silence_connections()
+            # The caller of the first attempts finds out; the next ones are served.
+            attempts = [
+                await deployment.callers.open(SERVICE_ADDRESS)
+                for _ in range(2 * REBIND_ATTEMPTS)
+            ]
+            self.assertTrue(all(attempts[REBIND_ATTEMPTS:]), attempts)
+            self.assertTrue(await all_answered(await open_flows(deployment)))
+
     @run_async
     async def test_calls_stay_within_platform_rate_limit(self) -> None:
         async with OpaqueDeployment(BALANCERS, AGENTS) as deployment:
