Log the agents that searches wait for

Change: an agent that leads searches older than half a second writes searches_wait once a second: their number, the age of the oldest and the agents most waited for. The stateful test also restarts agents beside servers that hang and delivers late deregistrations.

--- a/src/berylturn/connection/recovery/flow_search.py
+++ b/src/berylturn/connection/recovery/flow_search.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from ...version.owners import rank_agents
 from ..flow_table import FlowState
 from ..passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
@@ -23,8 +25,11 @@
 # An agent that is restarted answers again within this time. One that is silent for
 # longer is asked only when the caller sends again.
 RESTART_SECONDS = 3.0
-# Silent agents named in a log line.
+# Agents named in a log line.
 LOGGED_HOSTS = 5
+# Age from which a search counts as waiting, and interval of the log lines on those.
+WAIT_SECONDS = 0.5
+WAIT_LOG_SECONDS = 1.0
 
 
 class FlowSearch:
@@ -52,6 +57,7 @@
         self._locations = locations
         self._inquiries = Inquiries()
         self._starts = AgentStarts()
+        self._wait_logged_at = float("-inf")
 
     @property
     def is_searching(self) -> bool:
@@ -153,6 +159,7 @@
                 offered_to=inquiry.offered_to,
                 silent=self._find_silent(inquiry)[:LOGGED_HOSTS],
             )
+        self._log_waiting(now)
         effects: list[PassthroughEffect] = []
         if self._state.server_missing(now):
             for frame, segment in self._offers.pop_unanswered(now - ANSWER_SECONDS):
@@ -171,6 +178,30 @@
                 effects += self._offer_next(inquiry, now)
         return effects
 
+    def _log_waiting(self, now: float) -> None:
+        """Log, at most once a second, for which agents searches have been waiting."""
+        if now - self._wait_logged_at < WAIT_LOG_SECONDS:
+            return
+        waiting = [
+            inquiry
+            for inquiry in self._inquiries.pending()
+            if now - inquiry.started_at > WAIT_SECONDS
+        ]
+        if not waiting:
+            return
+        self._wait_logged_at = now
+        awaited: Counter[str] = Counter()
+        for inquiry in waiting:
+            hosts = {*self._find_silent(inquiry), inquiry.offered_to} - {""}
+            awaited.update(hosts)
+        self._state.log_decision(
+            "searches_wait",
+            b"",
+            searches=len(waiting),
+            seconds=max(now - inquiry.started_at for inquiry in waiting),
+            agents=dict(awaited.most_common(LOGGED_HOSTS)),
+        )
+
     def on_inquiry(
         self, host: str, flows: list[bytes], now: float
     ) -> list[PassthroughEffect]:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -91,6 +91,28 @@
         mesh.advance(2.0)
         self.assertFalse(mesh.was_reset(flow))
 
+    def test_servers_that_crash_after_a_restart_of_all_agents(self) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        flow = flow_key(1)
+        owner = mesh.open_flow("front-a", flow)
+        mesh.backends[owner].dead = True
+        for name in AGENTS:
+            mesh.start_agent(name, reported=False)
+        mesh.now += 4.0
+        for name in set(AGENTS) - {owner}:
+            mesh.report(name, started_ms=4000, cold_seconds=2.0)
+        mesh.send_request("front-a", flow, owner)
+        mesh.advance(1.0)
+        self.assertFalse(mesh.was_reset(flow))
+
+    def test_log_of_the_agents_that_a_search_waits_for(self) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        lose_power(mesh, set(AGENTS), set())
+        mesh.down = {"b1"}
+        mesh.send_request("front-a", flow_key(1), "a0")
+        mesh.advance(1.0)
+        self.assertEqual({"b1": 1}, mesh.events("searches_wait")[0]["agents"])
+
     def test_server_that_has_not_reported_yet_answers(self) -> None:
         mesh = Mesh(AGENTS, BALANCERS)
         flow = flow_key(1)
--- a/tests/test_recovery_fuzz.py
+++ b/tests/test_recovery_fuzz.py
@@ -61,8 +61,8 @@
 
     def end_server(self, name: str) -> None:
         """Let a server lose all its flows and answer nothing."""
-        self.late.append((name, self.started_at[name]))
         self.ended.add(name)
+        self.late.append((name, self.started_at[name]))
         self.mesh.backends[name].flows.clear()
         self.mesh.backends[name].dead = True
 
@@ -120,14 +120,21 @@
         self.end_server(name)
         self.start_server(name)
 
-    @rule(name=agents)
-    def restart_agent(self, name: str) -> None:
+    @rule(name=agents, hangs=st.booleans())
+    def restart_agent(self, name: str, hangs: bool) -> None:
+        self.hang_server(name, not hangs)
         self.start_agent(name)
 
-    @rule(spared=st.sets(agents, max_size=3))
-    def kill_agents(self, spared: set[str]) -> None:
+    @rule(name=agents)
+    def deliver_late_deregistration(self, name: str) -> None:
+        self.mesh.gates[name].deregister(f"i-{name}")
+
+    @rule(spared=st.sets(agents, max_size=3), hanging=st.sets(agents, max_size=3))
+    def kill_agents(self, spared: set[str], hanging: set[str]) -> None:
         """Restart many agents at one moment, beside servers that live on."""
-        for name in AGENTS.keys() - spared:
+        for name in hanging:
+            self.hang_server(name, goes_on=False)
+        for name in sorted(AGENTS.keys() - spared):
             self.start_agent(name)
 
     @rule(name=agents)
