--- a/src/berylturn/connection/passthrough_state.py
+++ b/src/berylturn/connection/passthrough_state.py
@@ -80,6 +80,14 @@
         """Tell whether the backend server has shown no sign of life to this process."""
         return self.signs.is_missing(now)
 
+    def data_centres(self) -> dict[str, str]:
+        """Return the data centre of each agent in use, by IP address."""
+        return {
+            agent.host: agent.data_centre
+            for agents in self.agents.values()
+            for agent in agents
+        }
+
     def service_of(self, frame: Forward, segment: Segment) -> str | None:
         """Return a flow's service by the newer of the sender's and the own routes."""
         if frame.version > self.table.version:
--- a/src/berylturn/connection/recovery/flow_search.py
+++ b/src/berylturn/connection/recovery/flow_search.py
@@ -6,27 +6,20 @@
 
 from ...version.owners import rank_agents
 from ..flow_table import FlowState
-from ..passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
+from ..passthrough_effects import PassthroughEffect, ToBackend, ToPeer
 from ..passthrough_state import PassthroughState
 from ..peer_frames import Findings, Forward, Inquiry, next_forward
 from ..placement.load_board import ANSWER_TIMEOUT_SECONDS
 from ..segments import Segment
-from .flow_inquiry import (
-    REPEAT_SECONDS,
-    Inquiries,
-    PendingInquiry,
-    combine_started_together,
-)
+from .flow_end import LOGGED_HOSTS, FlowEnd
+from .flow_inquiry import REPEAT_SECONDS, Inquiries, PendingInquiry
 from .flow_locations import FlowLocations
 from .offers import Offers
-from .power_loss import AgentStart, AgentStarts
 from .server_signs import ANSWER_SECONDS
 
 # An agent that is restarted answers again within this time. One that is silent for
 # longer is asked only when the caller sends again.
 RESTART_SECONDS = 3.0
-# Agents named in a log line.
-LOGGED_HOSTS = 5
 # Age from which a search counts as waiting, and interval of the log lines on those.
 WAIT_SECONDS = 0.5
 WAIT_LOG_SECONDS = 1.0
@@ -56,7 +49,7 @@
         self._offers = offers
         self._locations = locations
         self._inquiries = Inquiries()
-        self._starts = AgentStarts()
+        self._end = FlowEnd(state)
         self._wait_logged_at = float("-inf")
 
     @property
@@ -75,21 +68,12 @@
         now : float
             Seconds on the monotonic clock.
         """
-        state = self._state
-        own = AgentStart(
-            state.process.at,
-            state.gate.started_together,
-            state.signs.has_reported,
-            state.signs.started_later,
-            now,
-        )
-        self._starts.record(state.host, own)
-        return self._starts.lost_power(host, self._data_centres(), now)
+        return self._end.has_lost_power(host, now)
 
     def forget_absent_agents(self) -> None:
         """Stop to wait for agents that are no longer in use, and forget their words."""
-        data_centres = self._data_centres()
-        self._starts.keep_only(data_centres)
+        data_centres = self._state.data_centres()
+        self._end.keep_only(data_centres)
         for inquiry in self._inquiries.pending():
             if inquiry.offered_to not in data_centres:
                 inquiry.offered_to = ""
@@ -225,16 +209,7 @@
     ) -> list[PassthroughEffect]:
         """Handle another agent's answer to an inquiry or an offer."""
         self._state.board.record_report(host, None, now)
-        self._starts.record(
-            host,
-            AgentStart(
-                now - findings.process_seconds,
-                findings.started_together,
-                findings.has_reported,
-                findings.started_later,
-                now,
-            ),
-        )
+        self._end.record_findings(host, findings, now)
         effects: list[PassthroughEffect] = []
         for key, owner in findings.held:
             effects += self._on_owner_named(host, key, owner, now)
@@ -354,7 +329,7 @@
         if not missing and not self._cannot_be_held(flow):
             # Another agent had been named, so the own server was not offered it first.
             return self._offer_own_server(inquiry.frame, inquiry.segment, now)
-        return self._end_not_found(inquiry, missing, now)
+        return self._end.end_not_found(inquiry, missing, now)
 
     def _must_wait(
         self, inquiry: PendingInquiry, silent: list[str], now: float
@@ -386,53 +361,3 @@
             if agent.host in inquiry.unsure
         ]
         return sorted(ranked, key=lambda host: host != inquiry.named)
-
-    def _end_not_found(
-        self, inquiry: PendingInquiry, own_missing: bool, now: float
-    ) -> list[PassthroughEffect]:
-        """Reset a flow that no backend server holds, if its caller expects an answer.
-
-        Every agent in the directory has answered that its server does not hold the
-        flow: while one answer is missing, the search does not complete. An agent that
-        has just started, or that may have missed a change of the directory, cannot be
-        certain and resets nothing. A server that nobody hears must have lost power.
-        """
-        segment = inquiry.segment
-        own_restarted = self._state.gate.started_together
-        all_restarted = (
-            combine_started_together(inquiry.all_restarted, own_restarted) is True
-        )
-        unproven = self._list_unproven(inquiry.missing, own_missing, now)
-        is_complete = self._state.directory_trust(now).is_complete(all_restarted)
-        certain = is_complete and not unproven
-        expects_answer = segment.size > 0 and not segment.closing and not segment.reset
-        resets = certain and expects_answer
-        self._state.log_decision(
-            "flow_not_found",
-            segment.flow,
-            hops=sum(map(len, self._state.agents.values())),
-            ended=resets,
-            certain=certain,
-            all_restarted=all_restarted,
-            missing=sorted(inquiry.missing)[:LOGGED_HOSTS],
-            unproven=unproven[:LOGGED_HOSTS],
-        )
-        if not resets:
-            return []
-        return [reset_caller(self._state.codec, segment.flow, segment.acknowledged)]
-
-    def _list_unproven(
-        self, missing: set[str], own_missing: bool, now: float
-    ) -> list[str]:
-        """Return the agents whose missing servers may yet live."""
-        hosts = sorted(missing)
-        if own_missing:
-            hosts.append(self._state.host)
-        return [host for host in hosts if not self.has_lost_power(host, now)]
-
-    def _data_centres(self) -> dict[str, str]:
-        return {
-            agent.host: agent.data_centre
-            for agents in self._state.agents.values()
-            for agent in agents
-        }
