--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -246,6 +246,11 @@
         """Tell whether owners of flows are being searched for."""
         return self._search.is_searching
 
+    @property
+    def searches(self) -> int:
+        """Return the number of flows whose owners are being searched for."""
+        return self._search.count
+
     def continue_searches(self, now: float) -> list[PassthroughEffect]:
         """Ask silent agents again, and go on without those that do not answer."""
         return self._search.continue_searches(now)
--- a/src/berylturn/connection/recovery/flow_search.py
+++ b/src/berylturn/connection/recovery/flow_search.py
@@ -23,6 +23,8 @@
 # Age from which a search counts as waiting, and interval of the log lines on those.
 WAIT_SECONDS = 0.5
 WAIT_LOG_SECONDS = 1.0
+# Oldest searches that are examined for a line.
+MAX_EXAMINED = 200
 
 
 class FlowSearch:
@@ -58,6 +60,11 @@
         awaits_server = self._state.signs.is_awaited and len(self._offers) > 0
         return len(self._inquiries) > 0 or awaits_server
 
+    @property
+    def count(self) -> int:
+        """Return the number of pending searches."""
+        return len(self._inquiries)
+
     def has_lost_power(self, host: str, now: float) -> bool:
         """Tell whether an agent's server, also the own one, certainly lost power.
 
@@ -175,7 +182,7 @@
             return
         self._wait_logged_at = now
         awaited: Counter[str] = Counter()
-        for inquiry in waiting:
+        for inquiry in waiting[:MAX_EXAMINED]:
             hosts = {*self._find_silent(inquiry), inquiry.offered_to} - {""}
             awaited.update(hosts)
         self._state.log_decision(
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -416,6 +416,7 @@
             node.metrics.gauge("flows", len(self._agent.flows))
             node.metrics.gauge("registered", self._agent.registered)
             node.metrics.gauge("running", self._agent.running)
+            node.metrics.gauge("searches", self._agent.searches)
 
     async def _run_sweeps(self) -> None:
         while True:
