Build fewer dataclasses at the start of a daemon

Cause: after a loss of power the daemons' start is what callers wait for, and it is nearly all imports. Of a balancer's own imports 29 dataclasses took a third, since each compiles its methods anew; a msgspec.Struct takes a hundredth of that.

--- a/src/berylturn/connection/passthrough_effects.py
+++ b/src/berylturn/connection/passthrough_effects.py
@@ -3,29 +3,27 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from .peer_frames import PeerFrame
 from .segments import SegmentCodec, caller_host
 
 
-@dataclass(slots=True)
-class ToBackend:
+class ToBackend(msgspec.Struct):
     """Send a datagram to the backend server."""
 
     data: bytes
 
 
-@dataclass(slots=True)
-class ToCaller:
+class ToCaller(msgspec.Struct):
     """Send a datagram to a caller."""
 
     host: str
     data: bytes
 
 
-@dataclass(slots=True)
-class ToPeer:
+class ToPeer(msgspec.Struct):
     """Send a frame to another node."""
 
     host: str
--- a/src/berylturn/connection/recovery/backend_reports.py
+++ b/src/berylturn/connection/recovery/backend_reports.py
@@ -34,7 +34,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 # Time from the start of this process to its first instruction: 33 ms on 0.645 of a
 # core. The previous agent process had ended by then, so a server that started later
@@ -53,8 +53,7 @@
 RECENT_INTERVALS = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class BackendReport:
+class BackendReport(msgspec.Struct, frozen=True):
     """State of a backend server as reported in one heartbeat.
 
     Attributes
@@ -87,8 +86,7 @@
     cold_seconds: float
 
 
-@dataclass(frozen=True, slots=True)
-class OwnServer:
+class OwnServer(msgspec.Struct, frozen=True):
     """The backend server beside this agent, by the settings.
 
     Attributes
@@ -107,8 +105,7 @@
         return report.address == self.address and self.service in (None, report.service)
 
 
-@dataclass(frozen=True, slots=True)
-class ProcessStart:
+class ProcessStart(msgspec.Struct, frozen=True):
     """Start of this process.
 
     Attributes
--- a/src/berylturn/connection/segments.py
+++ b/src/berylturn/connection/segments.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
 
-@dataclass(slots=True)
-class Segment:
+
+class Segment(msgspec.Struct):
     """One packet of a passthrough flow, decoded once by the wire adapter.
 
     Attributes
--- a/src/berylturn/platform/objects.py
+++ b/src/berylturn/platform/objects.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -85,8 +84,7 @@
 _encode = msgspec.json.encode
 
 
-@dataclass(frozen=True, slots=True)
-class ListPage:
+class ListPage(msgspec.Struct, frozen=True):
     """One page of a list.
 
     Attributes
--- a/src/berylturn/process/http_server.py
+++ b/src/berylturn/process/http_server.py
@@ -7,9 +7,9 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import httptools
+import msgspec
 
 from ..errors import SettingsError
 from .logs import log_warning
@@ -19,8 +19,7 @@
 IDLE_SECONDS = 60.0
 
 
-@dataclass(frozen=True, slots=True)
-class HttpRequest:
+class HttpRequest(msgspec.Struct, frozen=True):
     """Method, path with query, and body of a request."""
 
     method: str
@@ -28,8 +27,7 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class HttpReply:
+class HttpReply(msgspec.Struct, frozen=True):
     """Status, body and content type of a reply."""
 
     status: int
--- a/src/berylturn/process/view_relay.py
+++ b/src/berylturn/process/view_relay.py
@@ -10,7 +10,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from ..clock import Clock
 from ..connection.peer_frames import PeerFrame, ViewInquiry, ViewStatus
@@ -41,8 +42,7 @@
 MAX_FOLLOWERS = 2_000
 
 
-@dataclass(frozen=True, slots=True)
-class RelayPosition:
+class RelayPosition(msgspec.Struct, frozen=True):
     """Position of a node in the distribution tree.
 
     Attributes
--- a/src/berylturn/version/agent_directory.py
+++ b/src/berylturn/version/agent_directory.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from .owners import AgentEntry
 
 # Agents restore lost entries within two seconds after the platform has recovered; the
@@ -17,8 +19,7 @@
 ENTRY_GRACE_SECONDS = 3.0
 
 
-@dataclass(frozen=True, slots=True)
-class DirectoryTrust:
+class DirectoryTrust(msgspec.Struct, frozen=True):
     """How reliable a node's copy of the directory is.
 
     Attributes
--- a/src/berylturn/version/owners.py
+++ b/src/berylturn/version/owners.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from .placement import score_weighted
 
 
-@dataclass(frozen=True, slots=True)
-class AgentEntry:
+class AgentEntry(msgspec.Struct, frozen=True):
     """One agent in the directory, with the backend server beside it.
 
     Attributes
--- a/src/berylturn/version/placement.py
+++ b/src/berylturn/version/placement.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
 from hashlib import blake2b
 from itertools import zip_longest
 
+import msgspec
+
 HASH_BYTES = 8
 HASH_RANGE = float(1 << (8 * HASH_BYTES))
 
 
-@dataclass(frozen=True)
-class Candidate:
+class Candidate(msgspec.Struct, frozen=True):
     """One backend server that may get new flows; `weight` is its capacity."""
 
     name: str
@@ -21,8 +21,7 @@
     weight: float
 
 
-@dataclass(frozen=True)
-class DataCentreChoice:
+class DataCentreChoice(msgspec.Struct, frozen=True):
     """One data centre of a service with its share and its candidates."""
 
     name: str
@@ -30,11 +29,10 @@
     candidates: tuple[Candidate, ...]
 
 
-@dataclass(frozen=True)
-class PlacementTable:
+class PlacementTable(msgspec.Struct, frozen=True):
     """Data centres and backend servers for the placement of one service's flows."""
 
-    choices: tuple[DataCentreChoice, ...] = field(default_factory=tuple)
+    choices: tuple[DataCentreChoice, ...] = msgspec.field(default_factory=tuple)
 
     @property
     def size(self) -> int:
--- a/src/berylturn/version/snapshots.py
+++ b/src/berylturn/version/snapshots.py
@@ -6,14 +6,15 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
+import msgspec
+
 # Distinguishes a kind without objects from a kind not yet read, whose digest is 0.
 _DIGEST_START = 1
 # Removals that a snapshot records for peers; about 100 bytes each.
 MAX_REMOVALS = 1_000
 
 
-@dataclass(frozen=True, slots=True)
-class StoredObject:
+class StoredObject(msgspec.Struct, frozen=True):
     """One object of the platform and the revision of its last change."""
 
     name: str
@@ -21,16 +22,14 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class ObjectChange:
+class ObjectChange(msgspec.Struct, frozen=True):
     """One change that a watch returned."""
 
     object: StoredObject
     removed: bool
 
 
-@dataclass(frozen=True, slots=True)
-class SnapshotDelta:
+class SnapshotDelta(msgspec.Struct, frozen=True):
     """Changes that bring a complete snapshot of one revision to a later one.
 
     Attributes
