--- a/src/berylturn/connection/recovery/flow_end.py
+++ b/src/berylturn/connection/recovery/flow_end.py
@@ -72,6 +72,9 @@
     ) -> list[PassthroughEffect]:
         """Reset a flow that no backend server holds, if its caller expects an answer.
 
+        A caller that only closes the flow repeats that for seconds, and each time all
+        agents would be asked anew.
+
         Every agent in the directory has answered that its server does not hold the
         flow: while one answer is missing, the search does not complete. An agent that
         has just started, or that may have missed a change of the directory, cannot be
@@ -98,7 +101,7 @@
         unproven = [host for host in missing if not self.has_lost_power(host, now)]
         is_complete = state.directory_trust(now).is_complete(all_restarted)
         certain = is_complete and not unproven
-        expects_answer = segment.size > 0 and not segment.closing and not segment.reset
+        expects_answer = (segment.size > 0 or segment.closing) and not segment.reset
         resets = certain and expects_answer
         state.log_decision(
             "flow_not_found",
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -6,7 +6,7 @@
 
 from nose2.tools import params
 
-from .passthrough_mesh import ACK, Mesh, caller_packet, flow_key
+from .passthrough_mesh import ACK, FIN, RST, Mesh, caller_packet, flow_key
 
 AGENTS = {
     **{f"a{n}": ("dc-a", "desk") for n in range(3)},
@@ -105,6 +105,22 @@
         mesh.advance(1.0)
         self.assertFalse(mesh.was_reset(flow))
 
+    @params(
+        ("request", ACK, b"GET", True),
+        ("request that is the last", ACK | FIN, b"GET", True),
+        ("end of the flow", ACK | FIN, b"", True),
+        ("acknowledgement", ACK, b"", False),
+        ("reset", RST, b"", False),
+    )
+    def test_packets_of_a_dead_flow(
+        self, _: str, flags: int, body: bytes, ended: bool
+    ) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        lose_power(mesh, set(AGENTS), set())
+        flow = flow_key(1)
+        mesh.send("front-a", caller_packet(flow, flags, body=body))
+        self.assertEqual(ended, mesh.was_reset(flow))
+
     def test_log_of_the_agents_that_a_search_waits_for(self) -> None:
         mesh = Mesh(AGENTS, BALANCERS)
         lose_power(mesh, set(AGENTS), set())
