Log which packet of a lost flow was searched for

Cause: whether the 712 flows of lab-t2 were closing could only be inferred. Change: flow_not_found tells the size of the packet and whether it closes the flow.

--- a/src/berylturn/connection/recovery/flow_end.py
+++ b/src/berylturn/connection/recovery/flow_end.py
@@ -108,6 +108,8 @@
             segment.flow,
             hops=sum(map(len, state.agents.values())),
             ended=resets,
+            size=segment.size,
+            closing=segment.closing,
             certain=certain,
             all_restarted=all_restarted,
             missing=missing[:LOGGED_HOSTS],
