Search once for a flow at an agent without a server

Cause: found by reading: an agent that knows that its server is missing searched for a flow at once, and again when the packet that it also offered stayed unanswered. Change: the packet still goes to the server, to see whether it is back, but nothing waits for it.

--- a/src/berylturn/connection/recovery/flow_search.py
+++ b/src/berylturn/connection/recovery/flow_search.py
@@ -99,11 +99,11 @@
                 return []
         if self._cannot_be_held(segment.flow):
             return self.on_not_held(frame, segment, now)
-        offer = self._offer_own_server(frame, segment, now)
         if self._state.server_missing(now):
-            # The offer shows whether the server is back.
-            return [*offer, *self._on_unanswered(frame, segment, now)]
-        return offer
+            # The packet shows whether the server is back, but nothing waits for that.
+            effects = self._on_unanswered(frame, segment, now)
+            return [ToBackend(segment.data), *effects]
+        return self._offer_own_server(frame, segment, now)
 
     def on_not_held(
         self, frame: Forward, segment: Segment, now: float
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -58,6 +58,9 @@
         for flow in later:
             mesh.send_request("front-a", flow, "a2")
         self.assertEqual([], [f for f in later if not mesh.was_reset(f)])
+        ended = len(mesh.events("flow_not_found"))
+        mesh.advance(1.0)
+        self.assertEqual(ended, len(mesh.events("flow_not_found")))
 
     @params(
         ("of one data centre", {"a0", "a1", "a2"}, "a1", True),
