--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -6,7 +6,7 @@
 
 from nose2.tools import params
 
-from .passthrough_mesh import ACK, Mesh, caller_packet, flow_key
+from .passthrough_mesh import ACK, FIN, RST, Mesh, caller_packet, flow_key
 
 AGENTS = {
     **{f"a{n}": ("dc-a", "desk") for n in range(3)},
@@ -58,6 +58,9 @@
         for flow in later:
             mesh.send_request("front-a", flow, "a2")
         self.assertEqual([], [f for f in later if not mesh.was_reset(f)])
+        ended = len(mesh.events("flow_not_found"))
+        mesh.advance(1.0)
+        self.assertEqual(ended, len(mesh.events("flow_not_found")))
 
     @params(
         ("of one data centre", {"a0", "a1", "a2"}, "a1", True),
@@ -91,6 +94,44 @@
         mesh.advance(2.0)
         self.assertFalse(mesh.was_reset(flow))
 
+    def test_servers_that_crash_after_a_restart_of_all_agents(self) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        flow = flow_key(1)
+        owner = mesh.open_flow("front-a", flow)
+        mesh.backends[owner].dead = True
+        for name in AGENTS:
+            mesh.start_agent(name, reported=False)
+        mesh.now += 4.0
+        for name in set(AGENTS) - {owner}:
+            mesh.report(name, started_ms=4000, cold_seconds=2.0)
+        mesh.send_request("front-a", flow, owner)
+        mesh.advance(1.0)
+        self.assertFalse(mesh.was_reset(flow))
+
+    @params(
+        ("request", ACK, b"GET", True),
+        ("request that is the last", ACK | FIN, b"GET", True),
+        ("end of the flow", ACK | FIN, b"", True),
+        ("acknowledgement", ACK, b"", False),
+        ("reset", RST, b"", False),
+    )
+    def test_packets_of_a_dead_flow(
+        self, _: str, flags: int, body: bytes, ended: bool
+    ) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        lose_power(mesh, set(AGENTS), set())
+        flow = flow_key(1)
+        mesh.send("front-a", caller_packet(flow, flags, body=body))
+        self.assertEqual(ended, mesh.was_reset(flow))
+
+    def test_log_of_the_agents_that_a_search_waits_for(self) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        lose_power(mesh, set(AGENTS), set())
+        mesh.down = {"b1"}
+        mesh.send_request("front-a", flow_key(1), "a0")
+        mesh.advance(1.0)
+        self.assertEqual({"b1": 1}, mesh.events("searches_wait")[0]["agents"])
+
     def test_server_that_has_not_reported_yet_answers(self) -> None:
         mesh = Mesh(AGENTS, BALANCERS)
         flow = flow_key(1)
