--- a/src/berylturn/connection/passthrough_effects.py
+++ b/src/berylturn/connection/passthrough_effects.py
@@ -3,27 +3,29 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-
-import msgspec
+from dataclasses import dataclass
 
 from .peer_frames import PeerFrame
 from .segments import SegmentCodec, caller_host
 
 
-class ToBackend(msgspec.Struct):
+@dataclass(slots=True)
+class ToBackend:
     """Send a datagram to the backend server."""
 
     data: bytes
 
 
-class ToCaller(msgspec.Struct):
+@dataclass(slots=True)
+class ToCaller:
     """Send a datagram to a caller."""
 
     host: str
     data: bytes
 
 
-class ToPeer(msgspec.Struct):
+@dataclass(slots=True)
+class ToPeer:
     """Send a frame to another node."""
 
     host: str
--- a/src/berylturn/connection/recovery/backend_reports.py
+++ b/src/berylturn/connection/recovery/backend_reports.py
@@ -34,7 +34,7 @@
 
 from __future__ import annotations
 
-import msgspec
+from dataclasses import dataclass
 
 # Time from the start of this process to its first instruction: 33 ms on 0.645 of a
 # core. The previous agent process had ended by then, so a server that started later
@@ -53,7 +53,8 @@
 RECENT_INTERVALS = 0.5
 
 
-class BackendReport(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class BackendReport:
     """State of a backend server as reported in one heartbeat.
 
     Attributes
@@ -86,7 +87,8 @@
     cold_seconds: float
 
 
-class OwnServer(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class OwnServer:
     """The backend server beside this agent, by the settings.
 
     Attributes
@@ -105,7 +107,8 @@
         return report.address == self.address and self.service in (None, report.service)
 
 
-class ProcessStart(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class ProcessStart:
     """Start of this process.
 
     Attributes
--- a/src/berylturn/connection/segments.py
+++ b/src/berylturn/connection/segments.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Protocol
 
-import msgspec
 
-
-class Segment(msgspec.Struct):
+@dataclass(slots=True)
+class Segment:
     """One packet of a passthrough flow, decoded once by the wire adapter.
 
     Attributes
--- a/src/berylturn/platform/objects.py
+++ b/src/berylturn/platform/objects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -84,7 +85,8 @@
 _encode = msgspec.json.encode
 
 
-class ListPage(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class ListPage:
     """One page of a list.
 
     Attributes
--- a/src/berylturn/process/http_client.py
+++ b/src/berylturn/process/http_client.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import socket
+from dataclasses import dataclass
 
 import httptools
-import msgspec
 
 from ..errors import PlatformUnavailable
 from .logs import log_warning
@@ -19,7 +19,8 @@
 USER_TIMEOUT_MILLISECONDS = 2500
 
 
-class HttpResponse(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
     """Status and body of a response."""
 
     status: int
--- a/src/berylturn/process/http_server.py
+++ b/src/berylturn/process/http_server.py
@@ -7,9 +7,9 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import httptools
-import msgspec
 
 from ..errors import SettingsError
 from .logs import log_warning
@@ -19,7 +19,8 @@
 IDLE_SECONDS = 60.0
 
 
-class HttpRequest(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
     """Method, path with query, and body of a request."""
 
     method: str
@@ -27,7 +28,8 @@
     body: bytes
 
 
-class HttpReply(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class HttpReply:
     """Status, body and content type of a reply."""
 
     status: int
--- a/src/berylturn/process/view_relay.py
+++ b/src/berylturn/process/view_relay.py
@@ -10,8 +10,7 @@
 
 import asyncio
 from collections.abc import Callable
-
-import msgspec
+from dataclasses import dataclass
 
 from ..clock import Clock
 from ..connection.peer_frames import PeerFrame, ViewInquiry, ViewStatus
@@ -42,7 +41,8 @@
 MAX_FOLLOWERS = 2_000
 
 
-class RelayPosition(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class RelayPosition:
     """Position of a node in the distribution tree.
 
     Attributes
--- a/src/berylturn/version/agent_directory.py
+++ b/src/berylturn/version/agent_directory.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-import msgspec
-
 from .owners import AgentEntry
 
 # Agents restore lost entries within two seconds after the platform has recovered; the
@@ -19,7 +17,8 @@
 ENTRY_GRACE_SECONDS = 3.0
 
 
-class DirectoryTrust(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class DirectoryTrust:
     """How reliable a node's copy of the directory is.
 
     Attributes
--- a/src/berylturn/version/owners.py
+++ b/src/berylturn/version/owners.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-
-import msgspec
+from dataclasses import dataclass
 
 from .placement import score_weighted
 
 
-class AgentEntry(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class AgentEntry:
     """One agent in the directory, with the backend server beside it.
 
     Attributes
--- a/src/berylturn/version/placement.py
+++ b/src/berylturn/version/placement.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass, field
 from hashlib import blake2b
 from itertools import zip_longest
 
-import msgspec
-
 HASH_BYTES = 8
 HASH_RANGE = float(1 << (8 * HASH_BYTES))
 
 
-class Candidate(msgspec.Struct, frozen=True):
+@dataclass(frozen=True)
+class Candidate:
     """One backend server that may get new flows; `weight` is its capacity."""
 
     name: str
@@ -21,7 +21,8 @@
     weight: float
 
 
-class DataCentreChoice(msgspec.Struct, frozen=True):
+@dataclass(frozen=True)
+class DataCentreChoice:
     """One data centre of a service with its share and its candidates."""
 
     name: str
@@ -29,10 +30,11 @@
     candidates: tuple[Candidate, ...]
 
 
-class PlacementTable(msgspec.Struct, frozen=True):
+@dataclass(frozen=True)
+class PlacementTable:
     """Data centres and backend servers for the placement of one service's flows."""
 
-    choices: tuple[DataCentreChoice, ...] = msgspec.field(default_factory=tuple)
+    choices: tuple[DataCentreChoice, ...] = field(default_factory=tuple)
 
     @property
     def size(self) -> int:
--- a/src/berylturn/version/snapshots.py
+++ b/src/berylturn/version/snapshots.py
@@ -6,15 +6,14 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-import msgspec
-
 # Distinguishes a kind without objects from a kind not yet read, whose digest is 0.
 _DIGEST_START = 1
 # Removals that a snapshot records for peers; about 100 bytes each.
 MAX_REMOVALS = 1_000
 
 
-class StoredObject(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class StoredObject:
     """One object of the platform and the revision of its last change."""
 
     name: str
@@ -22,14 +21,16 @@
     body: bytes
 
 
-class ObjectChange(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class ObjectChange:
     """One change that a watch returned."""
 
     object: StoredObject
     removed: bool
 
 
-class SnapshotDelta(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class SnapshotDelta:
     """Changes that bring a complete snapshot of one revision to a later one.
 
     Attributes
