Judge backend servers by what they do with the flows they accept

Cause: a server that resets or sheds what it accepts is idle at once, so the choice by completion time sends it more.

Change: each agent counts outcomes (resets, ends without an answer, returned openings, silence; hasty short answers count half), and leaves its own server out of placement where siblings answer meanwhile. Off without settings.

--- a/src/berylturn/connection/admission/passthrough_openings.py
+++ b/src/berylturn/connection/admission/passthrough_openings.py
@@ -65,6 +65,8 @@
         reason = self._state.gate.refusal(service, now)
         if self._state.stopping and reason is None:
             reason = "stopping"
+        if reason is None and self._is_held_back(segment, now):
+            reason = "ejected"
         if reason is None and self._is_busy(now):
             reason = "busy"
         if reason is not None:
@@ -91,6 +93,8 @@
         while self._queue and self._has_capacity_for_queued(now):
             opening = self._queue.peek(now)
             reason = self._state.gate.refusal(opening.service, now)
+            if reason is None and self._is_held_back(opening.segment, now):
+                reason = "ejected"
             if reason is None:
                 self._queue.remove(opening)
                 effects += self._admit(
@@ -114,6 +118,19 @@
             effects += self._refuse(opening.frame, opening.segment, "stopping", now)
         return effects
 
+    def pass_on_queued(self, now: float) -> list[PassthroughEffect]:
+        """Pass all queued openings on to siblings, as the server now fails."""
+        queued = []
+        while self._queue:
+            queued.append(self._queue.peek(now))
+            self._queue.remove(queued[-1])
+        effects: list[PassthroughEffect] = []
+        for opening in queued:
+            effects += self._forward_to_sibling(
+                opening.frame, opening.segment, opening.service, "ejected", now
+            )
+        return effects
+
     def _has_capacity_for_queued(self, now: float) -> bool:
         """Tell whether the server has capacity for the first request of one more flow.
 
@@ -129,6 +146,11 @@
         )
         return self._state.expected_requests(now) < limit
 
+    def _is_held_back(self, segment: Segment, now: float) -> bool:
+        """Tell whether an opening is to go to a sibling, as this server fails."""
+        route = self._state.table.route_of(segment.flow)
+        return self._state.outliers.holds_back(route.repeatable, now)
+
     def _is_busy(self, now: float) -> bool:
         """Tell whether one more request would only wait in the server.
 
@@ -161,6 +183,7 @@
         self._offers.forget_returned(segment.flow)
         self._state.flows.admit(segment, now)
         self._state.gate.admit(segment.flow, now)
+        self._state.outliers.record_opening(now)
         self._state.log_decision(
             "flow_admitted",
             segment.flow,
@@ -200,6 +223,8 @@
                 return self._enqueue(frame, segment, service, reason, wait, now)
             if is_cold:
                 chosen = self._choose_sibling(frame, segment, service, True, now)
+            elif reason == "ejected":
+                return self._take_anyway(frame, segment, service, now)
         if chosen is None:
             return self._refuse(frame, segment, reason, now)
         self._state.board.record_opening(chosen.host)
@@ -216,6 +241,15 @@
         passed = next_forward(frame, visited=visited, service=service)
         return [ToPeer(chosen.host, passed)]
 
+    def _take_anyway(
+        self, frame: Forward, segment: Segment, service: str, now: float
+    ) -> list[PassthroughEffect]:
+        """Admit or queue an opening that no sibling takes though this server fails."""
+        if not self._meter.has_short_flows or self._has_capacity_for_queued(now):
+            return self._admit(frame, segment, now, now)
+        wait = self._expected_wait("busy", now)
+        return self._enqueue(frame, segment, service, "busy", wait, now)
+
     def _choose_sibling(
         self,
         frame: Forward,
--- a/src/berylturn/connection/flow_table.py
+++ b/src/berylturn/connection/flow_table.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from .placement.outcome_counts import Outcome, OutcomeCounts
 from .placement.work_meter import WorkMeter
 from .segments import Segment
 
@@ -56,6 +57,8 @@
         Time of admission; None if it was opened before this process started.
     requests : int
         Number of requests so far.
+    overdue : bool
+        Whether the request in progress, or the opening, has counted as unanswered.
     """
 
     state: FlowState
@@ -68,6 +71,7 @@
     busy_since: float | None = None
     admitted_at: float | None = None
     requests: int = 0
+    overdue: bool = False
 
     def owns(self, segment: Segment) -> bool:
         """Tell whether a caller's packet, not an opening, belongs to this flow.
@@ -97,6 +101,8 @@
     ----------
     meter : WorkMeter
         Measures the server's work.
+    outcomes : OutcomeCounts or None
+        Counts how requests end; None if nobody judges the server by it.
     """
 
     def __init__(
@@ -105,6 +111,7 @@
         self._on_drop = on_drop
         self._observe = observe
         self.meter = WorkMeter()
+        self.outcomes: OutcomeCounts | None = None
         self._flows: dict[bytes, PassthroughFlow] = {}
         self._awaiting_request: dict[bytes, float] = {}
         self._running = 0
@@ -194,12 +201,10 @@
                 flow.first_sequence = segment.sequence
             return
         if segment.size:
-            answered = flow.busy_since is not None
-            if answered:
-                self._observe(now - flow.busy_since)
-            self._end_request(flow, now)
-            if answered:
-                self.meter.record_completion()
+            if flow.busy_since is not None:
+                self._record_answer(segment, flow, now)
+        elif segment.closing or segment.reset:
+            self._record_ending(segment, flow, now)
         if segment.closing:
             flow.backend_closed = True
         if segment.reset or (flow.caller_closed and flow.backend_closed):
@@ -237,8 +242,39 @@
         """
         for key, flow in self._flows.items():
             if flow.busy_since is not None and now - flow.busy_since > timeout_of(key):
+                self._record_overdue(flow, now)
                 self._end_request(flow, now)
 
+    def record_unanswered(
+        self,
+        patience_of: Callable[[bytes], float],
+        opening_patience: float,
+        now: float,
+    ) -> None:
+        """Count the requests and openings without an answer for too long, once each.
+
+        Parameters
+        ----------
+        patience_of : callable
+            Returns the seconds within which a flow's request is to be answered.
+        opening_patience : float
+            Seconds within which an opening is to be answered.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        for key, flow in self._flows.items():
+            if flow.busy_since is not None:
+                late = now - flow.busy_since > patience_of(key)
+            else:
+                late = (
+                    flow.state is FlowState.HALF_OPEN
+                    and flow.first_sequence is None
+                    and flow.admitted_at is not None
+                    and now - flow.admitted_at > opening_patience
+                )
+            if late:
+                self._record_overdue(flow, now)
+
     def smooth_load(self, now: float) -> None:
         """Add the mean of running requests since the last call to the average."""
         self._change_running(0, now)
@@ -256,9 +292,43 @@
             self.meter.record_ended_flow(flow.requests)
         flow.state = FlowState.CLOSED
 
+    def _record_answer(
+        self, segment: Segment, flow: PassthroughFlow, now: float
+    ) -> None:
+        seconds = now - flow.busy_since
+        self._observe(seconds)
+        outcome = Outcome.ANSWERED
+        if self.outcomes is not None and not flow.overdue:
+            outcome = self.outcomes.record_answer(seconds, segment.size, now)
+        self._end_request(flow, now)
+        if outcome is Outcome.ANSWERED:
+            self.meter.record_completion()
+
+    def _record_ending(
+        self, segment: Segment, flow: PassthroughFlow, now: float
+    ) -> None:
+        """Count a flow that the server ends before the answer to a request."""
+        if self.outcomes is None or flow.caller_closed or flow.overdue:
+            return
+        is_unused = (
+            segment.reset
+            and flow.state is not FlowState.CLOSED
+            and flow.admitted_at is not None
+            and not flow.requests
+        )
+        if flow.busy_since is not None or is_unused:
+            ending = Outcome.RESET if segment.reset else Outcome.CLOSED
+            self.outcomes.record(ending, now)
+
+    def _record_overdue(self, flow: PassthroughFlow, now: float) -> None:
+        if self.outcomes is not None and not flow.overdue and not flow.caller_closed:
+            flow.overdue = True
+            self.outcomes.record(Outcome.UNANSWERED, now)
+
     def _end_request(self, flow: PassthroughFlow, now: float) -> None:
         if flow.busy_since is not None:
             flow.busy_since = None
+            flow.overdue = False
             self._change_running(-1, now)
 
     def _change_running(self, change: int, now: float) -> None:
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -26,6 +26,8 @@
 from .passthrough_state import PassthroughState
 from .peer_frames import Findings, Forward, Load, LoadReport, Owned, Registered
 from .placement.load_board import LoadBoard
+from .placement.outlier_watch import OutlierWatch
+from .placement.outliers import UNJUDGED, OutlierRules, Standing
 from .recovery.flow_locations import FlowLocations
 from .recovery.flow_search import FlowSearch
 from .recovery.offers import Offers
@@ -33,6 +35,8 @@
 
 # Registrations in one frame, 14 bytes each; a datagram has at most 1,200 bytes.
 MAX_REGISTRATIONS = 80
+# Maximum number of agents of the service that are told at once of an ejection.
+MAX_TOLD = 256
 
 
 class PassthroughAgent:
@@ -55,6 +59,8 @@
     directory_trust : callable
         Returns how complete the directory of agents is at a time on the monotonic
         clock.
+    outlier_rules : OutlierRules
+        Whether and how the backend server is judged by what it does with its flows.
     """
 
     def __init__(
@@ -66,10 +72,12 @@
         log_decision: LogDecision,
         observe: Callable[[float], None],
         directory_trust: Callable[[float], DirectoryTrust],
+        outlier_rules: OutlierRules = UNJUDGED,
     ) -> None:
         flows = FlowTable(gate.end_flow, observe)
+        outliers = OutlierWatch(host, outlier_rules, flows, board, log_decision)
         self._state = PassthroughState(
-            host, gate, board, flows, codec, log_decision, directory_trust
+            host, gate, board, flows, codec, log_decision, directory_trust, outliers
         )
         self._locations = FlowLocations(host)
         self._offers = Offers()
@@ -96,6 +104,16 @@
         """Return the number of queued openings."""
         return len(self._state.queue)
 
+    @property
+    def standing(self) -> Standing:
+        """Return the standing of the backend server in placement."""
+        return self._state.outliers.standing
+
+    @property
+    def failed_share(self) -> float:
+        """Return the share of the recent requests that the backend server failed."""
+        return self._state.outliers.failed_share
+
     @property
     def registered(self) -> int:
         """Return the number of flows of other agents that are registered here."""
@@ -166,6 +184,8 @@
         else:
             self._state.flows.record_backend_packet(segment, flow, now)
         effects.append(ToCaller(caller_host(segment.flow), segment.data))
+        if self._state.outliers.is_pending:
+            effects += self._review_server(now)
         if self._state.queue and (segment.size or segment.closing):
             effects += self._openings.admit_queued(now)
         return effects
@@ -174,6 +194,10 @@
         """Record the owner of flows that have this agent first in their order."""
         self._locations.record_owner(host, flows, now)
 
+    def forget_outcomes(self, now: float) -> None:
+        """Forget what the backend server did before it restarted."""
+        self._state.outliers.forget(now)
+
     def on_backend_restarted(self) -> list[PassthroughEffect]:
         """Resend the newest packet of each open flow, to find the lost flows."""
         return [
@@ -227,6 +251,39 @@
         registrations = self._locations.pop_remote_registrations(self._is_open)
         return _batch_registrations(registrations)
 
+    def judge_server(self, now: float) -> list[PassthroughEffect]:
+        """Judge the backend server by what it has done with its flows so far."""
+        table = self._state.table
+        self._state.outliers.find_unanswered(
+            lambda key: table.route_of(key).aim_seconds, now
+        )
+        return self._review_server(now)
+
+    def _review_server(self, now: float) -> list[PassthroughEffect]:
+        """Judge the server; tell the agents of the service if its standing changes."""
+        state = self._state
+        if not state.outliers.enabled:
+            return []
+        report = state.gate.report
+        service = report.service if report is not None else ""
+        agents = [
+            agent
+            for agent in state.agents.get(service, ())
+            if agent.data_centre not in state.evacuated
+        ]
+        if not state.outliers.review(
+            agents, state.gate.refusal(service, now), state.gate.is_cold(now), now
+        ):
+            return []
+        frame = Load(state.load_report(now))
+        others = [agent.host for agent in agents if agent.host != state.host]
+        effects: list[PassthroughEffect] = [
+            ToPeer(host, frame) for host in others[:MAX_TOLD]
+        ]
+        if state.outliers.ejected_seconds(now):
+            effects += self._openings.pass_on_queued(now)
+        return effects
+
     def _is_open(self, key: bytes) -> bool:
         flow = self._state.flows.get(key)
         return flow is not None and flow.state is FlowState.OPEN
@@ -291,6 +348,7 @@
             return self._search.on_not_held(frame, original, now)
         if flow is not None and flow.state is FlowState.HALF_OPEN:
             self._state.flows.drop(segment.flow)
+        self._state.outliers.record_returned(now)
         return self._openings.handle_returned(frame, original, now)
 
     def _on_flow_lost(
--- a/src/berylturn/connection/passthrough_state.py
+++ b/src/berylturn/connection/passthrough_state.py
@@ -14,6 +14,7 @@
 from .passthrough_effects import LogDecision
 from .peer_frames import Forward, LoadReport
 from .placement.load_board import LoadBoard
+from .placement.outlier_watch import OutlierWatch
 from .segments import Segment, SegmentCodec
 
 
@@ -37,6 +38,8 @@
         Logs a decision: event name, flow key, and the inputs as keywords.
     directory_trust : callable
         Returns how complete `agents` is at a time on the monotonic clock.
+    outliers : OutlierWatch
+        Judges the backend server by what it does with its flows.
     table : RouteTable
         Routes in force.
     agents : dict of str to list of AgentEntry
@@ -58,6 +61,7 @@
     codec: SegmentCodec
     log_decision: LogDecision
     directory_trust: Callable[[float], DirectoryTrust]
+    outliers: OutlierWatch
     table: RouteTable = field(default_factory=RouteTable)
     agents: dict[str, list[AgentEntry]] = field(default_factory=dict)
     evacuated: frozenset[str] = frozenset()
@@ -93,7 +97,9 @@
             stopping=self.stopping,
             cold=self.gate.is_cold(now),
             backend_left=self.gate.has_left,
-            outstanding=self.outstanding(now),
+            outstanding=self.outstanding(now) + self.outliers.aversion(now),
             service_ms=1000 * (self.flows.meter.service_seconds or 0.0),
             short_flows=self.flows.meter.has_short_flows,
+            ejected_ms=1000 * self.outliers.ejected_seconds(now),
+            failed_share=self.outliers.failed_share,
         )
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -56,6 +56,8 @@
         Milliseconds that an opening queued now is expected to wait for its admission.
     pledged : float
         Mean number of slots that the requests of the open flows occupy.
+    failed_share : float
+        Share of the recent requests that the server failed.
     """
 
     accepting: bool
@@ -73,6 +75,7 @@
     ejected_ms: Annotated[float, Meta(ge=0)] = 0.0
     wait_ms: Annotated[float, Meta(ge=0)] = 0.0
     pledged: Annotated[float, Meta(ge=0, le=MAX_REQUESTS)] = 0.0
+    failed_share: Annotated[float, Meta(ge=0, le=1)] = 0.0
 
 
 class Forward(msgspec.Struct, array_like=True, tag=1):
--- a/src/berylturn/connection/placement/load_board.py
+++ b/src/berylturn/connection/placement/load_board.py
@@ -44,6 +44,7 @@
     reported_at: float = 0.0
     openings_since_report: int = 0
     awaiting_answer_since: float | None = None
+    ejected_until: float = 0.0
 
 
 class LoadBoard:
@@ -60,6 +61,7 @@
             peer.report = report
             peer.reported_at = now
             peer.openings_since_report = 0
+            peer.ejected_until = now + report.ejected_ms / 1000
 
     def expect_answer(self, host: str, now: float) -> None:
         """Record that an agent was sent a frame that it answers at once."""
@@ -125,6 +127,27 @@
         report = self.fresh_report(host, now)
         return report is None or (report.accepting and not report.stopping)
 
+    def reported_at(self, host: str) -> float | None:
+        """Return when an agent's newest report arrived, or None without one."""
+        peer = self._peers.get(host)
+        return None if peer is None or peer.report is None else peer.reported_at
+
+    def is_ejected(self, host: str, now: float) -> bool:
+        """Tell whether a server is left out because it fails what it accepts.
+
+        The report states for how long, so this outlasts the report.
+        """
+        peer = self._peers.get(host)
+        return peer is not None and now < peer.ejected_until
+
+    def leave_out_ejected(
+        self, agents: Iterable[AgentEntry], now: float
+    ) -> list[AgentEntry]:
+        """Return the agents whose servers are not left out, or all if none is left."""
+        agents = list(agents)
+        in_use = [agent for agent in agents if not self.is_ejected(agent.host, now)]
+        return in_use or agents
+
     def is_cold(self, host: str, now: float) -> bool:
         """Tell whether an agent's server is in cold start by its last report."""
         report = self.fresh_report(host, now)
@@ -207,6 +230,7 @@
     ]
     if not candidates:
         return None
+    candidates = board.leave_out_ejected(candidates, now)
     if any(board.has_short_flows(agent.host, now) for agent in candidates):
         return choose_soonest(candidates, data_centre, board, now) or candidates[0]
     pressures = {agent.host: board.pressure(agent.host, now) for agent in candidates}
@@ -242,7 +266,7 @@
         Seconds within which it must complete the request; else None is returned.
     """
     best, best_seconds = None, before
-    for agent in candidates:
+    for agent in board.leave_out_ejected(candidates, now):
         seconds = board.completion_seconds(agent.host, now)
         if agent.data_centre != data_centre:
             seconds += REMOTE_SECONDS
--- a/src/berylturn/connection/placement/work_meter.py
+++ b/src/berylturn/connection/placement/work_meter.py
@@ -101,6 +101,11 @@
         self._changed_at = now
         self._running = running
 
+    def forget_service_time(self) -> None:
+        """Measure the service time anew, as the server may have changed."""
+        self._completed, self._busy_slot_seconds = 0, 0.0
+        self._service_seconds = None
+
     def record_completion(self) -> None:
         """Record the answer to a request."""
         self._completed += 1
--- a/src/berylturn/platform/start.py
+++ b/src/berylturn/platform/start.py
@@ -7,7 +7,9 @@
 import socket
 import sys
 from collections.abc import Callable
+from typing import Any
 
+import msgspec
 import uvloop
 
 from ..clock import SystemClock
@@ -30,6 +32,8 @@
 from .objects import ObjectClient
 
 SETTINGS_VARIABLE = "BERYLTURN_SETTINGS"
+# Term by which servers that fail although they report to be well are left out.
+HEALTH_TERM = "health"
 
 
 async def run_balancer(
@@ -90,10 +94,21 @@
         sys.exit(1)
 
 
+def apply_terms(settings: Any) -> Any:
+    """Return the settings with what the platform's terms switch on.
+
+    A mode that the file states other than ``off`` is kept.
+    """
+    outliers = settings.outliers
+    if HEALTH_TERM in settings.platform.terms and outliers.mode == "off":
+        outliers = msgspec.structs.replace(outliers, mode="eject")
+    return msgspec.structs.replace(settings, outliers=outliers)
+
+
 def _make_node(
     path: str, model: type, started: float, early_socket: socket.socket | None
 ) -> PassthroughNode:
-    file = SettingsFile(path, model)
+    file = SettingsFile(path, model, apply_terms)
     settings = file.read()
     clock = SystemClock()
     logs = LogWriter(settings.logs.file, settings.logs.level, settings.node.name, clock)
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -23,6 +23,7 @@
     Registered,
 )
 from ..connection.placement.load_board import LoadBoard
+from ..connection.placement.outliers import OutlierRules, Standing
 from ..connection.recovery.backend_reports import BackendReport, OwnServer, ProcessStart
 from ..errors import PacketError, PlatformError
 from ..version.agent_directory import AgentDirectory, Directory
@@ -82,7 +83,9 @@
             node.log_decision,
             lambda seconds: node.metrics.time("response", seconds),
             node.sync.directory_trust,
+            _build_outlier_rules(node),
         )
+        self._sent_standing = Standing.IN_USE
         self._directory = AgentDirectory(self._board.has_left)
         self._entry_writer = EntryWriter(node.settings.node.name, node.view, node.store)
         self._backend_transport: asyncio.DatagramTransport | None = None
@@ -150,6 +153,7 @@
         ):
             self._apply_backend_state(current, restarted)
         if restarted:
+            self._agent.forget_outcomes(node.now())
             self._send_effects(self._agent.on_backend_restarted())
         self._send_effects(self._agent.admit_queued(node.now()))
         self._send_load_if_changed()
@@ -218,6 +222,8 @@
             "flows": len(self._agent.flows),
             "running": self._agent.running,
             "waiting": self._agent.queued,
+            "standing": self._agent.standing.value,
+            "failed_share": round(self._agent.failed_share, 3),
             "registered": self._agent.registered,
             "load": self._board.describe(now),
         }
@@ -233,6 +239,7 @@
             self._node.record_drop("backend", error)
             return
         self._send_effects(self._agent.on_backend(segment, self._node.now()))
+        self._send_load_if_judged()
 
     def _on_backend_refused(self, error: Exception) -> None:
         log_warning("backend_refused", error=str(error))
@@ -367,6 +374,14 @@
         if (load.accepting, load.cold) != self._last_sent_state:
             self._send_load(load, remote_siblings=True, remote_balancers=True)
 
+    def _send_load_if_judged(self) -> None:
+        """Tell all balancers when the server is left out, or no longer."""
+        if self._agent.standing is self._sent_standing:
+            return
+        self._sent_standing = self._agent.standing
+        load = self._agent.load_report(self._node.now())
+        self._send_load(load, remote_siblings=True, remote_balancers=True)
+
     def _send_periodic_load(self, report_number: int) -> None:
         """Send peers near by the load, and all peers a state that time has changed."""
         load = self._agent.load_report(self._node.now())
@@ -397,6 +412,8 @@
             await asyncio.sleep(REPORT_SECONDS)
             now = node.now()
             self._agent.smooth_load(now)
+            self._send_effects(self._agent.judge_server(now))
+            self._send_load_if_judged()
             directory = self._directory.expire(now)
             if directory is not None:
                 self._apply_directory(directory)
@@ -407,6 +424,9 @@
             node.metrics.gauge("flows", len(self._agent.flows))
             node.metrics.gauge("registered", self._agent.registered)
             node.metrics.gauge("running", self._agent.running)
+            is_in_use = self._agent.standing is Standing.IN_USE
+            node.metrics.gauge("left_out", 0 if is_in_use else 1)
+            node.metrics.gauge("failed_share", self._agent.failed_share)
 
     async def _run_sweeps(self) -> None:
         while True:
@@ -457,6 +477,13 @@
     )
 
 
+def _build_outlier_rules(node: PassthroughNode) -> OutlierRules:
+    section = node.settings.outliers
+    return OutlierRules(
+        section.mode != "off", section.mode == "eject", section.largest_share
+    )
+
+
 def _find_process_start(node: PassthroughNode) -> ProcessStart:
     """Return the start of this process on both clocks."""
     age_ms = int(1000 * (node.now() - node.started))
--- a/src/berylturn/process/settings_file.py
+++ b/src/berylturn/process/settings_file.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -35,16 +36,25 @@
         Path of the file.
     model : type
         Settings class that validates the file.
+    translate : callable or None
+        Returns the settings that those in the file stand for; by default the same.
     """
 
-    def __init__(self, path: str, model: type[Any]) -> None:
+    def __init__(
+        self,
+        path: str,
+        model: type[Any],
+        translate: Callable[[Any], Any] | None = None,
+    ) -> None:
         self._path = path
         self._model = model
+        self._translate = translate
         self._last_stamp = self._read_stamp()
 
     def read(self) -> Any:
         """Return the validated settings or raise `SettingsError`."""
-        return read_settings(self._path, self._model)
+        settings = read_settings(self._path, self._model)
+        return settings if self._translate is None else self._translate(settings)
 
     def has_changed(self) -> bool:
         """Tell whether the file was written since the last call or reload."""
