Replay servers that fail what they accept (scaffold)

Healthy servers count ends without an answer (closed) for about every fourth request; the cause is to be found.

--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -184,7 +184,7 @@
         else:
             self._state.flows.record_backend_packet(segment, flow, now)
         effects.append(ToCaller(caller_host(segment.flow), segment.data))
-        if self._state.outliers.is_pending:
+        if self._state.outliers.is_due(now):
             effects += self._review_server(now)
         if self._state.queue and (segment.size or segment.closing):
             effects += self._openings.admit_queued(now)
--- a/src/berylturn/connection/placement/outlier_watch.py
+++ b/src/berylturn/connection/placement/outlier_watch.py
@@ -34,6 +34,8 @@
 PATIENCE_SERVICE_TIMES = 8.0
 PATIENCE_AIMS = 2.0
 DEFAULT_PATIENCE_SECONDS = 1.0
+# Shortest time between two reviews.
+REVIEW_SECONDS = 0.03
 # A server that is in order answers an opening within milliseconds.
 OPENING_PATIENCE_SECONDS = 0.25
 
@@ -69,6 +71,7 @@
         self._board = board
         self._log_decision = log_decision
         self._counts = OutcomeCounts()
+        self._reviewed_at = float("-inf")
         if rules.enabled:
             flows.outcomes = self._counts
 
@@ -77,10 +80,12 @@
         """Tell whether the server is judged."""
         return self._judge.rules.enabled
 
-    @property
-    def is_pending(self) -> bool:
-        """Tell whether a review may change the standing before its time is up."""
-        if not self.enabled:
+    def is_due(self, now: float) -> bool:
+        """Tell whether a review before the next periodic one may change the standing.
+
+        There is a shortest time between two, as each looks at all siblings.
+        """
+        if not self.enabled or now - self._reviewed_at < REVIEW_SECONDS:
             return False
         standing = self._judge.standing
         if standing is Standing.IN_USE:
@@ -159,6 +164,7 @@
         """
         if not self.enabled:
             return False
+        self._reviewed_at = now
         self._counts.excused = EXCUSED_WHILE_COLD if cold else frozenset()
         evidence = self._gather(agents, cold, now)
         if gate_state in UNJUDGED_STATES:
--- a/tests/overload_replay.py
+++ b/tests/overload_replay.py
@@ -131,6 +131,7 @@
             rules = self.agents[name]
             self.report(name, slots=1)
             rules.smooth_load(self.now)
+            self._run_effects(name, rules.judge_server(self.now))
             frame = Load(rules.load_report(self.now))
             peers = [*self.routers, *(set(self.servers) - {name})]
             self._run_effects(name, [ToPeer(peer, frame) for peer in peers])
@@ -233,7 +234,7 @@
         server.busy_seconds += seconds
 
         def end() -> None:
-            self.finish(name, key, b"200")
+            self.finish(name, key, b"200" + bytes(600))
             server.running = None
             if server.waiting:
                 self.start_work(name, server.waiting.popleft())
@@ -266,7 +267,7 @@
             del self.flows[key]
         elif flags & SYN:
             self.to_balancer(key, caller_packet(key, ACK, ack=501, body=b"GET"))
-        elif body == b"200":
+        elif body.startswith(b"200"):
             self.to_balancer(key, caller_packet(key, ACK | FIN, ack=505))
             del self.flows[key]
             request.answered_at = self.now
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -26,6 +26,7 @@
     Registered,
 )
 from berylturn.connection.placement.load_board import LoadBoard
+from berylturn.connection.placement.outliers import OutlierRules
 from berylturn.connection.recovery.backend_reports import BackendReport, ProcessStart
 from berylturn.platform import packets
 from berylturn.version.agent_directory import Directory, DirectoryTrust
@@ -121,6 +122,8 @@
         Data centre of each balancer, by name.
     """
 
+    outlier_rules = OutlierRules()
+
     def __init__(
         self, agents: dict[str, tuple[str, str]], balancers: dict[str, str]
     ) -> None:
@@ -167,6 +170,7 @@
             self._log_decision,
             lambda seconds: None,
             lambda now: DirectoryTrust(name not in self.uncertain, self.known_seconds),
+            self.outlier_rules,
         )
         self.agents[name] = rules
         rules.set_table(self.table)
