--- a/src/berylturn/connection/flow_table.py
+++ b/src/berylturn/connection/flow_table.py
@@ -57,6 +57,8 @@
         Time of admission; None if it was opened before this process started.
     requests : int
         Number of requests so far.
+    next_sequence : int or None
+        Sequence number after the newest data of the backend server; None if unknown.
     overdue : bool
         Whether the request in progress, or the opening, has counted as unanswered.
     """
@@ -71,6 +73,7 @@
     busy_since: float | None = None
     admitted_at: float | None = None
     requests: int = 0
+    next_sequence: int | None = None
     overdue: bool = False
 
     def owns(self, segment: Segment) -> bool:
@@ -86,6 +89,21 @@
         progress = (segment.acknowledged - self.first_sequence) % SEQUENCE_RANGE
         return 0 < progress <= MAX_PROGRESS_BYTES
 
+    def record_data(self, segment: Segment) -> None:
+        """Record up to where data of the backend server has arrived."""
+        end = (segment.sequence + segment.size) % SEQUENCE_RANGE
+        if self.next_sequence is None or _is_ahead(end, self.next_sequence):
+            self.next_sequence = end
+
+    def expects_data(self, segment: Segment) -> bool:
+        """Tell whether data that the backend server sent before a packet is missing.
+
+        Packets may overtake one another.
+        """
+        return self.next_sequence is None or _is_ahead(
+            segment.sequence, self.next_sequence
+        )
+
 
 class FlowTable:
     """Store the flows of one backend server.
@@ -103,6 +121,8 @@
         Measures the server's work.
     outcomes : OutcomeCounts or None
         Counts how requests end; None if nobody judges the server by it.
+    hasty_answers_complete : bool
+        Whether answers that may be rejections count for the speed of the server.
     """
 
     def __init__(
@@ -112,6 +132,7 @@
         self._observe = observe
         self.meter = WorkMeter()
         self.outcomes: OutcomeCounts | None = None
+        self.hasty_answers_complete = True
         self._flows: dict[bytes, PassthroughFlow] = {}
         self._awaiting_request: dict[bytes, float] = {}
         self._running = 0
@@ -199,8 +220,10 @@
         if segment.accepting:
             if flow.state is FlowState.HALF_OPEN:
                 flow.first_sequence = segment.sequence
+                flow.next_sequence = (segment.sequence + 1) % SEQUENCE_RANGE
             return
         if segment.size:
+            flow.record_data(segment)
             if flow.busy_since is not None:
                 self._record_answer(segment, flow, now)
         elif segment.closing or segment.reset:
@@ -301,7 +324,7 @@
         if self.outcomes is not None and not flow.overdue:
             outcome = self.outcomes.record_answer(seconds, segment.size, now)
         self._end_request(flow, now)
-        if outcome is Outcome.ANSWERED:
+        if outcome is Outcome.ANSWERED or self.hasty_answers_complete:
             self.meter.record_completion()
 
     def _record_ending(
@@ -310,6 +333,8 @@
         """Count a flow that the server ends before the answer to a request."""
         if self.outcomes is None or flow.caller_closed or flow.overdue:
             return
+        if flow.expects_data(segment):
+            return
         is_unused = (
             segment.reset
             and flow.state is not FlowState.CLOSED
@@ -336,3 +361,8 @@
         self._running_changed_at = now
         self._running += change
         self.meter.change_running(self._running, now)
+
+
+def _is_ahead(sequence: int, other: int) -> bool:
+    """Tell whether a sequence number follows another within the bytes in transit."""
+    return 0 < (sequence - other) % SEQUENCE_RANGE <= MAX_PROGRESS_BYTES
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -251,6 +251,12 @@
         registrations = self._locations.pop_remote_registrations(self._is_open)
         return _batch_registrations(registrations)
 
+    def on_ejected_sibling(self, now: float) -> list[PassthroughEffect]:
+        """Check at once whether too many servers are left out, this one included."""
+        if self._state.outliers.standing is not Standing.EJECTED:
+            return []
+        return self._review_server(now)
+
     def judge_server(self, now: float) -> list[PassthroughEffect]:
         """Judge the backend server by what it has done with its flows so far."""
         table = self._state.table
@@ -275,6 +281,8 @@
             agents, state.gate.refusal(service, now), state.gate.is_cold(now), now
         ):
             return []
+        if not state.outliers.enforced:
+            return []
         frame = Load(state.load_report(now))
         others = [agent.host for agent in agents if agent.host != state.host]
         effects: list[PassthroughEffect] = [
--- a/src/berylturn/connection/passthrough_state.py
+++ b/src/berylturn/connection/passthrough_state.py
@@ -102,4 +102,5 @@
             short_flows=self.flows.meter.has_short_flows,
             ejected_ms=1000 * self.outliers.ejected_seconds(now),
             failed_share=self.outliers.failed_share,
+            answer_age_ms=self.outliers.answer_age_ms(now),
         )
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -58,6 +58,8 @@
         Mean number of slots that the requests of the open flows occupy.
     failed_share : float
         Share of the recent requests that the server failed.
+    answer_age_ms : float or None
+        Milliseconds since the server's newest answer; None without one.
     """
 
     accepting: bool
@@ -76,6 +78,7 @@
     wait_ms: Annotated[float, Meta(ge=0)] = 0.0
     pledged: Annotated[float, Meta(ge=0, le=MAX_REQUESTS)] = 0.0
     failed_share: Annotated[float, Meta(ge=0, le=1)] = 0.0
+    answer_age_ms: Annotated[float, Meta(ge=0)] | None = None
 
 
 class Forward(msgspec.Struct, array_like=True, tag=1):
--- a/src/berylturn/connection/placement/outcome_counts.py
+++ b/src/berylturn/connection/placement/outcome_counts.py
@@ -52,9 +52,12 @@
     ----------
     excused : frozenset of Outcome
         Outcomes that the state of the server explains; they are not recorded.
+    answered_at : float or None
+        When the server last answered, on the monotonic clock.
     """
 
     def __init__(self) -> None:
+        self.answered_at: float | None = None
         self.excused: frozenset[Outcome] = frozenset()
         self._usual_seconds = 0.0
         self._usual_size = 0.0
@@ -105,6 +108,10 @@
         self._counts: Counter[Outcome] = Counter()
         self._failed_at.clear()
 
+    def forget_answers(self) -> None:
+        """Forget the number of answers, as those of a cold server tell no speed."""
+        del self._counts[Outcome.ANSWERED]
+
     def describe(self) -> dict[str, int]:
         """Return the counts since the last `forget` for logs."""
         return {str(outcome): count for outcome, count in self._counts.items()}
@@ -113,6 +120,8 @@
         """Count an outcome unless the state of the server explains it."""
         if outcome in self.excused:
             return
+        if outcome is Outcome.ANSWERED:
+            self.answered_at = now
         weight = FAILURE_WEIGHTS.get(outcome, 1.0)
         self._counts[outcome] += 1
         self._recent += RECENT_WEIGHT * (weight - self._recent)
--- a/src/berylturn/connection/placement/outlier_watch.py
+++ b/src/berylturn/connection/placement/outlier_watch.py
@@ -11,6 +11,7 @@
 from ...version.owners import AgentEntry
 from ..flow_table import FlowTable
 from ..passthrough_effects import LogDecision
+from ..peer_frames import LoadReport
 from .load_board import LoadBoard
 from .outcome_counts import Outcome, OutcomeCounts
 from .outliers import (
@@ -74,12 +75,18 @@
         self._reviewed_at = float("-inf")
         if rules.enabled:
             flows.outcomes = self._counts
+            flows.hasty_answers_complete = not rules.enforced
 
     @property
     def enabled(self) -> bool:
         """Tell whether the server is judged."""
         return self._judge.rules.enabled
 
+    @property
+    def enforced(self) -> bool:
+        """Tell whether a server that fails is left out, and not only logged."""
+        return self._judge.rules.enforced
+
     def is_due(self, now: float) -> bool:
         """Tell whether a review before the next periodic one may change the standing.
 
@@ -102,13 +109,18 @@
         """Return the share of recent requests that failed, for load reports."""
         return self._counts.failed_share
 
+    def answer_age_ms(self, now: float) -> float | None:
+        """Return the milliseconds since the newest answer, for load reports."""
+        answered_at = self._counts.answered_at
+        return None if answered_at is None else 1000 * max(0.0, now - answered_at)
+
     def ejected_seconds(self, now: float) -> float:
         """Return for how long the server gets no new flows; 0 if it is in use."""
         return self._judge.ejected_seconds(now)
 
     def aversion(self, now: float) -> int:
         """Return the recent failures, which count as outstanding requests."""
-        return self._counts.aversion(now) if self._judge.rules.enforced else 0
+        return self._counts.aversion(now) if self.enforced else 0
 
     def holds_back(self, repeatable: bool, now: float) -> bool:
         """Tell whether an opening is to go to a sibling."""
@@ -166,6 +178,8 @@
             return False
         self._reviewed_at = now
         self._counts.excused = EXCUSED_WHILE_COLD if cold else frozenset()
+        if cold and self._judge.standing is Standing.IN_USE:
+            self._counts.forget_answers()
         evidence = self._gather(agents, cold, now)
         if gate_state in UNJUDGED_STATES:
             change = self._judge.forgive(gate_state, evidence, now)
@@ -188,13 +202,14 @@
             change.event,
             b"",
             reason=change.reason,
-            enforced=self._judge.rules.enforced,
+            enforced=self.enforced,
             ejections=self._judge.ejections,
             **change.inputs,
         )
         if change.event == "server_on_trial":
             self._counts.forget()
-            self._flows.meter.forget_service_time()
+            if self.enforced:
+                self._flows.meter.forget_service_time()
         return True
 
     def _gather(self, agents: Sequence[AgentEntry], cold: bool, now: float) -> Evidence:
@@ -208,10 +223,18 @@
                 SiblingState(
                     agent.host,
                     board.is_ejected(agent.host, now),
-                    board.reported_at(agent.host) if report is not None else None,
+                    report is not None,
+                    _answered_at(report, board.reported_at(agent.host)),
                     report.failed_share if report is not None else 0.0,
                     report.service_ms / 1000 if report is not None else 0.0,
                 )
             )
         service = 0.0 if cold else self._flows.meter.service_seconds or 0.0
         return Evidence(self._host, self._counts, service, len(agents), siblings)
+
+
+def _answered_at(report: LoadReport | None, reported_at: float | None) -> float | None:
+    """Return when the server of a report last answered, None if unknown."""
+    if report is None or report.answer_age_ms is None:
+        return None
+    return reported_at - report.answer_age_ms / 1000
--- a/src/berylturn/connection/placement/outliers.py
+++ b/src/berylturn/connection/placement/outliers.py
@@ -21,10 +21,16 @@
 RECENT_FAILED_SHARE = 0.5
 STEADY_FAILED_SHARE = 0.15
 MIN_FAILURES = 3
-# Multiple of the siblings' median service time from which a server is slow, and the
-# siblings whose service time must be known.
-SLOW_FACTOR = 3.0
+# Multiple of the siblings' median service time from which a server is slow, the
+# siblings whose service time must be known, and the answers that must be seen after a
+# cold start or a trial.
+SLOW_FACTOR = 4.0
 MIN_SIBLINGS_MEASURED = 3
+MIN_ANSWERS_MEASURED = 32
+# Siblings that must have answered since the failures began, and the service times after
+# which an answer cannot be to an earlier request.
+MIN_WITNESSES = 3
+WITNESS_SERVICE_TIMES = 4
 # Time without new flows; it doubles with each further one, and halves again for each
 # period in use.
 FIRST_EJECTION_SECONDS = 2.0
@@ -78,8 +84,10 @@
         IP address of its agent.
     ejected : bool
         Whether it is left out.
-    reported_at : float or None
-        When its newest report arrived; None if there is none that still holds.
+    heard : bool
+        Whether there is a report of it that still holds.
+    answered_at : float or None
+        When it last answered a request, by that report.
     failed_share : float
         Share of its recent requests that failed.
     service_seconds : float
@@ -88,7 +96,8 @@
 
     host: str
     ejected: bool
-    reported_at: float | None
+    heard: bool
+    answered_at: float | None
     failed_share: float
     service_seconds: float
 
@@ -278,10 +287,11 @@
     fails = (
         counts.recent_share >= RECENT_FAILED_SHARE
         or counts.steady_share >= STEADY_FAILED_SHARE
+        and counts.recent_share >= SOUND_SHARE
     )
     if fails and counts.failed + counts.hinted >= MIN_FAILURES:
         return "failures"
-    if not evidence.service_seconds:
+    if not evidence.service_seconds or counts.answered < MIN_ANSWERS_MEASURED:
         return None
     measured = [s.service_seconds for s in evidence.siblings if s.service_seconds]
     if len(measured) < MIN_SIBLINGS_MEASURED:
@@ -291,29 +301,39 @@
 
 
 def _siblings_are_sound(evidence: Evidence) -> bool:
-    """Tell whether most siblings have answered since the own failures began."""
-    heard = [s for s in evidence.siblings if s.reported_at is not None]
+    """Tell whether siblings answer requests that came after the own failures began.
+
+    An idle sibling proves nothing, and neither do answers to earlier requests.
+    """
     since = evidence.counts.failing_since
-    sound = [
+    if since is None:
+        return False
+    heard = [s for s in evidence.siblings if s.heard and not s.ejected]
+    failing = [s for s in heard if s.failed_share >= SOUND_SHARE]
+    witnesses = [
         s
         for s in heard
-        if s.failed_share < SOUND_SHARE and since is not None and s.reported_at >= since
+        if s.failed_share < SOUND_SHARE
+        and s.answered_at is not None
+        and s.answered_at > since + WITNESS_SERVICE_TIMES * s.service_seconds
     ]
-    return 2 * len(sound) > len(heard)
+    return (
+        len(witnesses) >= min(MIN_WITNESSES, len(heard))
+        and bool(heard)
+        and (len(witnesses) > len(failing))
+    )
 
 
 def _most_fail(evidence: Evidence) -> bool:
     """Tell whether most siblings that are in use fail, too."""
-    heard = [
-        s for s in evidence.siblings if s.reported_at is not None and not s.ejected
-    ]
+    heard = [s for s in evidence.siblings if s.heard and not s.ejected]
     failing = [s for s in heard if s.failed_share >= SOUND_SHARE]
     return 2 * len(failing) > len(heard)
 
 
 def _describe(evidence: Evidence) -> dict[str, object]:
     counts = evidence.counts
-    heard = [s for s in evidence.siblings if s.reported_at is not None]
+    heard = [s for s in evidence.siblings if s.heard]
     return {
         "counts": counts.describe(),
         "recent_share": counts.recent_share,
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -255,6 +255,9 @@
             self._agent.on_registered(host, frame.flows, now)
         elif type(frame) is Load:
             self._board.record_report(host, frame.load, now)
+            if frame.load.ejected_ms:
+                self._send_effects(self._agent.on_ejected_sibling(now))
+                self._send_load_if_judged()
             self._node.sync.handle_peer_revisions(host, frame.load.newest)
         elif type(frame) is Probe:
             self._record_balancer(host, frame.data_centre, now)
--- a/tests/overload_replay.py
+++ b/tests/overload_replay.py
@@ -195,6 +195,9 @@
     def hear(self, receiver: str, sender: str, frame: Load) -> None:
         """Deliver a load report between siblings."""
         self.boards[receiver].record_report(sender, frame.load, self.now)
+        if frame.load.ejected_ms:
+            rules = self.agents[receiver]
+            self._run_effects(receiver, rules.on_ejected_sibling(self.now))
 
     def deliver(self, sender: str, effect: ToPeer) -> None:
         """Deliver one frame between nodes."""
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -4,6 +4,7 @@
 
 import unittest
 from collections import Counter
+from collections.abc import Callable
 
 from nose2.tools import params
 
@@ -16,12 +17,14 @@
 SERVERS = 8
 SHARE = 0.3
 ALLOWED = 2
-# The servers fail in this span of the replay; the load is half of what they can process.
+# The servers fail in this span of the replay, at half of their full load.
 FAILS_FROM, FAILS_UNTIL, ENDS_AT = 2.0, 6.0, 14.0
 LOAD = 0.5
 EJECT = OutlierRules(enabled=True, enforced=True, largest_share=SHARE)
 OBSERVE = OutlierRules(enabled=True, enforced=False, largest_share=SHARE)
 OFF = OutlierRules()
+# Agents that eject at the same time hear of one another within a few milliseconds.
+MAX_EXCESS_SECONDS = 0.02
 
 
 class FailureReplay(Replay):
@@ -42,15 +45,15 @@
         self.kind = kind
         self.failed: Counter[str] = Counter()
         self.largest_ejected = 0
+        self.excess_seconds = 0.0
+        self.checked_at = START
         super().__init__(SERVERS, seed=1)
         self.failing = set(list(self.servers)[:failing])
         self.play([(ENDS_AT, LOAD)])
 
     def fails(self, name: str) -> bool:
         """Tell whether a server fails now."""
-        return name in self.failing and (
-            FAILS_FROM <= self.now - START < FAILS_UNTIL
-        )
+        return name in self.failing and (FAILS_FROM <= self.now - START < FAILS_UNTIL)
 
     def on_server(self, name: str, data: bytes) -> None:
         """Handle a packet at a backend server, which may fail it."""
@@ -88,10 +91,18 @@
         super().start_work(name, key)
         server.speed = speed
 
-    def deliver(self, sender: str, effect: object) -> None:
-        """Deliver one frame between nodes, and note how many servers are left out."""
-        super().deliver(sender, effect)
-        self.largest_ejected = max(self.largest_ejected, len(self.ejected))
+    def after(self, seconds: float, action: Callable[[], None]) -> None:
+        """Do something later, and note how many servers are left out then."""
+
+        def check_and_act() -> None:
+            action()
+            ejected = len(self.ejected)
+            self.largest_ejected = max(self.largest_ejected, ejected)
+            if ejected > ALLOWED:
+                self.excess_seconds += self.now - self.checked_at
+            self.checked_at = self.now
+
+        super().after(seconds, check_and_act)
 
     @property
     def ejected(self) -> set[str]:
@@ -99,7 +110,7 @@
         return {
             name
             for name, rules in self.agents.items()
-            if rules.load_report(self.now).ejected_ms
+            if rules.standing is Standing.EJECTED and self.outlier_rules.enforced
         }
 
     @property
@@ -109,15 +120,56 @@
 
 
 class TestKinds(unittest.TestCase):
-    def test_print(self) -> None:
-        for kind in ("reset", "errors", "busy", "shed", "hang", "mute", "slow", "one_zone"):
-            for rules in (OFF, EJECT):
-                r = FailureReplay(kind, 2, rules)
-                print(kind, rules.enforced, sum(r.failed.values()), r.lost, len(r.requests), r.largest_ejected, r.ejected,
-                    {n: a.standing.value for n, a in r.agents.items() if a.standing is not Standing.IN_USE},
-                    Counter((e, f["reason"]) for e, f in r.decisions if e.startswith("server_")),
-                    r.share_in_aim(2,6), r.share_in_aim(12, 14), max(s.arrivals for s in r.servers.values()) / (sum(s.arrivals for s in r.servers.values())/8), flush=True)
-        for n in (4, 5, 6, 8):
-            r = FailureReplay("reset", n, EJECT)
-            print(n, sum(r.failed.values()), r.lost, r.largest_ejected,
-                    Counter((e, f["reason"]) for e, f in r.decisions if e.startswith("server_")), flush=True)
+    """Two of eight servers fail for 4 s, in each way in which a server may fail.
+
+    Those that fail at once attracted most of the requests.
+    """
+
+    # Kind, requests that the failing servers fail with `off` at least, and with `eject`
+    # at most; those that are lost to their callers then.
+    @params(
+        ("reset", 100, 20, 0),
+        ("errors", 400, 25, 25),
+        ("busy", 800, 25, 0),
+        ("shed", 100, 35, 0),
+        ("hang", 2, 4, 4),
+        ("mute", 50, 25, 25),
+        ("one_zone", 50, 15, 0),
+    )
+    def test_failures(self, kind: str, before: int, failed: int, lost: int) -> None:
+        self.assertGreaterEqual(
+            sum(FailureReplay(kind, 2, OFF).failed.values()), before
+        )
+        replay = FailureReplay(kind, 2, EJECT)
+        self.assertLessEqual(sum(replay.failed.values()), failed)
+        self.assertLessEqual(replay.lost, lost)
+        self.assert_recovered(replay)
+
+    def test_slow(self) -> None:
+        replay = FailureReplay("slow", 2, EJECT)
+        self.assertEqual(0, replay.lost)
+        self.assert_recovered(replay)
+
+    @params(*(("reset", n) for n in (3, 4)), ("shed", 4))
+    def test_share(self, kind: str, failing: int) -> None:
+        replay = FailureReplay(kind, failing, EJECT)
+        self.assert_recovered(replay)
+
+    @params(*((kind, n) for kind in ("reset", "busy") for n in (6, 8)))
+    def test_most_fail(self, kind: str, failing: int) -> None:
+        replay = FailureReplay(kind, failing, EJECT)
+        self.assertEqual([], replay.events("server_ejected"))
+
+    @params("reset", "shed")
+    def test_observe(self, kind: str) -> None:
+        off, observe = FailureReplay(kind, 2, OFF), FailureReplay(kind, 2, OBSERVE)
+        self.assertEqual(off.failed, observe.failed)
+        self.assertEqual(0, observe.largest_ejected)
+        self.assertTrue(observe.events("server_ejected"))
+
+    def assert_recovered(self, replay: FailureReplay) -> None:
+        """Check that not too many servers were left out, and that all are in use."""
+        self.assertLessEqual(replay.excess_seconds, MAX_EXCESS_SECONDS)
+        standings = {rules.standing for rules in replay.agents.values()}
+        self.assertEqual({Standing.IN_USE}, standings)
+        self.assertGreater(replay.share_in_aim(ENDS_AT - 2.0, ENDS_AT), 0.95)
