--- a/src/berylturn/connection/placement/outcome_counts.py
+++ b/src/berylturn/connection/placement/outcome_counts.py
@@ -36,8 +36,10 @@
 # An answer is hasty below these shares of the usual time and size.
 HASTY_TIME_SHARE = 0.125
 HASTY_SIZE_SHARE = 0.33
-# Weight of the newest answer in what is usual, and the answers that must be known.
+# Weights of the newest answer and of a hasty one in what is usual, and the answers that
+# must be known.
 USUAL_WEIGHT = 0.02
+HASTY_USUAL_WEIGHT = 0.002
 MIN_USUAL_ANSWERS = 20
 # Time for which a failure adds to the load that the server reports.
 AVERSION_SECONDS = 1.0
@@ -85,6 +87,11 @@
         """Return when the failures began, or None if the server counts as sound."""
         return self._failing_since
 
+    @property
+    def last_failed_at(self) -> float:
+        """Return when the server last failed, on the monotonic clock."""
+        return self._failed_at[-1] if self._failed_at else float("-inf")
+
     @property
     def answered(self) -> int:
         """Return the number of answers since the last `forget`."""
@@ -142,6 +149,8 @@
         )
         self._answers += 1
         weight = max(USUAL_WEIGHT, 1 / self._answers)
+        if is_hasty:
+            weight = HASTY_USUAL_WEIGHT
         self._usual_seconds += weight * (seconds - self._usual_seconds)
         self._usual_size += weight * (size - self._usual_size)
         outcome = Outcome.HASTY if is_hasty else Outcome.ANSWERED
@@ -150,6 +159,4 @@
 
     def aversion(self, now: float) -> int:
         """Return the failures of the last second, which count as outstanding work."""
-        while self._failed_at and now - self._failed_at[0] > AVERSION_SECONDS:
-            self._failed_at.popleft()
-        return len(self._failed_at)
+        return sum(now - at <= AVERSION_SECONDS for at in self._failed_at)
--- a/src/berylturn/connection/placement/outliers.py
+++ b/src/berylturn/connection/placement/outliers.py
@@ -21,6 +21,8 @@
 RECENT_FAILED_SHARE = 0.5
 STEADY_FAILED_SHARE = 0.15
 MIN_FAILURES = 3
+# Age of the last failure above which the server may have recovered.
+LAST_FAILURE_SECONDS = 0.5
 # Multiple of the siblings' median service time from which a server is slow, the
 # siblings whose service time must be known, and the answers that must be seen after a
 # cold start or a trial.
@@ -231,7 +233,10 @@
         reason = _find_reason(evidence)
         if reason is None or not self._has_room(evidence):
             return None
-        if reason == "failures" and not _siblings_are_sound(evidence):
+        if reason == "failures" and (
+            now - evidence.counts.last_failed_at > LAST_FAILURE_SECONDS
+            or not _siblings_are_sound(evidence)
+        ):
             return None
         return self._eject(reason, evidence, now)
 
