Describe and test the detection of servers that fail what they accept

Load reports state failures as a percentage and the age of the newest answer in whole milliseconds (4 bytes together).

--- a/src/berylturn/connection/passthrough_state.py
+++ b/src/berylturn/connection/passthrough_state.py
@@ -101,6 +101,6 @@
             service_ms=1000 * (self.flows.meter.service_seconds or 0.0),
             short_flows=self.flows.meter.has_short_flows,
             ejected_ms=1000 * self.outliers.ejected_seconds(now),
-            failed_share=self.outliers.failed_share,
+            failed_percent=round(100 * self.outliers.failed_share),
             answer_age_ms=self.outliers.answer_age_ms(now),
         )
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -56,10 +56,10 @@
         Milliseconds that an opening queued now is expected to wait for its admission.
     pledged : float
         Mean number of slots that the requests of the open flows occupy.
-    failed_share : float
-        Share of the recent requests that the server failed.
-    answer_age_ms : float or None
-        Milliseconds since the server's newest answer; None without one.
+    failed_percent : int
+        Percentage of the recent requests that the server failed.
+    answer_age_ms : int or None
+        Milliseconds since the server's newest answer; None without a recent one.
     """
 
     accepting: bool
@@ -77,8 +77,8 @@
     ejected_ms: Annotated[float, Meta(ge=0)] = 0.0
     wait_ms: Annotated[float, Meta(ge=0)] = 0.0
     pledged: Annotated[float, Meta(ge=0, le=MAX_REQUESTS)] = 0.0
-    failed_share: Annotated[float, Meta(ge=0, le=1)] = 0.0
-    answer_age_ms: Annotated[float, Meta(ge=0)] | None = None
+    failed_percent: Annotated[int, Meta(ge=0, le=100)] = 0
+    answer_age_ms: Annotated[int, Meta(ge=0)] | None = None
 
 
 class Forward(msgspec.Struct, array_like=True, tag=1):
--- a/src/berylturn/connection/placement/outlier_watch.py
+++ b/src/berylturn/connection/placement/outlier_watch.py
@@ -35,6 +35,8 @@
 PATIENCE_SERVICE_TIMES = 8.0
 PATIENCE_AIMS = 2.0
 DEFAULT_PATIENCE_SECONDS = 1.0
+# Age above which an answer is not reported; it fits into three bytes.
+MAX_ANSWER_AGE_SECONDS = 60.0
 # Shortest time between two reviews.
 REVIEW_SECONDS = 0.03
 # A server that is in order answers an opening within milliseconds.
@@ -109,10 +111,12 @@
         """Return the share of recent requests that failed, for load reports."""
         return self._counts.failed_share
 
-    def answer_age_ms(self, now: float) -> float | None:
+    def answer_age_ms(self, now: float) -> int | None:
         """Return the milliseconds since the newest answer, for load reports."""
         answered_at = self._counts.answered_at
-        return None if answered_at is None else 1000 * max(0.0, now - answered_at)
+        if answered_at is None or now - answered_at > MAX_ANSWER_AGE_SECONDS:
+            return None
+        return int(1000 * max(0.0, now - answered_at))
 
     def ejected_seconds(self, now: float) -> float:
         """Return for how long the server gets no new flows; 0 if it is in use."""
@@ -225,7 +229,7 @@
                     board.is_ejected(agent.host, now),
                     report is not None,
                     _answered_at(report, board.reported_at(agent.host)),
-                    report.failed_share if report is not None else 0.0,
+                    report.failed_percent / 100 if report is not None else 0.0,
                     report.service_ms / 1000 if report is not None else 0.0,
                 )
             )
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -8,11 +8,36 @@
 
 from nose2.tools import params
 
-from berylturn.connection.placement.outliers import OutlierRules, Standing
+from berylturn.connection.peer_frames import Forward
+from berylturn.connection.placement.outcome_counts import Outcome, OutcomeCounts
+from berylturn.connection.placement.outliers import (
+    Evidence,
+    OutlierJudge,
+    OutlierRules,
+    SiblingState,
+    Standing,
+)
 from berylturn.platform import packets
+from berylturn.platform.start import apply_terms
+from berylturn.process.settings import (
+    NodeSection,
+    OutliersSection,
+    PassthroughBalancerSettings,
+    PlatformSection,
+)
 
 from .overload_replay import Replay
-from .passthrough_mesh import ACK, RST, START, SYN, backend_packet
+from .passthrough_mesh import (
+    ACK,
+    FIN,
+    RST,
+    START,
+    SYN,
+    Mesh,
+    backend_packet,
+    caller_packet,
+    flow_key,
+)
 
 SERVERS = 8
 SHARE = 0.3
@@ -119,6 +144,167 @@
         return sum(request.answered_at is None for request in self.requests)
 
 
+def make_mesh(rules: OutlierRules = EJECT) -> Mesh:
+    """Return a server with siblings, all of which are judged."""
+    mesh = Mesh.__new__(Mesh)
+    mesh.outlier_rules = rules
+    mesh.__init__({f"a{n}": ("dc-a", "desk") for n in range(4)}, {"f": "dc-a"})
+    return mesh
+
+
+def end_request(mesh: Mesh, number: int, *steps: tuple[str, int, int]) -> int:
+    """Open a flow at a0, send a request, and play what either end sends then.
+
+    Returns the percentage of failures that the agent reports. Each step is the sender,
+    the flags, and the sequence number after the first.
+    """
+    rules, flow = mesh.agents["a0"], flow_key(number)
+    opening = packets.decode_from_caller(caller_packet(flow, SYN))
+    frame = Forward("f", "dc-a", 1, "desk", [], False, opening.data)
+    rules.on_forward(frame, opening, mesh.now)
+    to_agent = packets.decode_from_backend
+    rules.on_backend(to_agent(backend_packet(flow, SYN | ACK, 500)), mesh.now)
+    request = caller_packet(flow, ACK, ack=501, body=b"GET")
+    rules.on_forward(frame, packets.decode_from_caller(request), mesh.now)
+    for sender, flags, sequence in steps:
+        if sender == "caller":
+            segment = packets.decode_from_caller(caller_packet(flow, flags, ack=501))
+            rules.on_forward(frame, segment, mesh.now)
+        else:
+            body = b"200" if sender == "answer" else b""
+            data = backend_packet(flow, flags, 501 + sequence, body=body)
+            rules.on_backend(to_agent(data), mesh.now)
+    return rules.load_report(mesh.now).failed_percent
+
+
+class TestOutcomes(unittest.TestCase):
+    """What counts as a failure of the server, and what does not."""
+
+    @params(
+        ("reset", True, ("server", RST, 0)),
+        ("end without an answer", True, ("server", ACK | FIN, 0)),
+        ("answer", False, ("answer", ACK, 0)),
+        ("end after the answer", False, ("answer", ACK, 0), ("server", FIN, 3)),
+        ("end overtakes the answer", False, ("server", FIN, 3), ("answer", ACK, 0)),
+        ("the caller leaves first", False, ("caller", FIN, 0), ("server", FIN, 0)),
+        ("the caller resets", False, ("caller", RST, 0), ("server", RST, 0)),
+    )
+    def test_ending(self, _: str, fails: bool, *steps: tuple[str, int, int]) -> None:
+        self.assertEqual(fails, end_request(make_mesh(), 1, *steps) > 0)
+
+    @params(("off", OFF), ("eject", EJECT))
+    def test_reset_is_no_completion(self, _: str, rules: OutlierRules) -> None:
+        mesh = make_mesh(rules)
+        for number in range(20):
+            end_request(mesh, number, ("server", RST, 0))
+        report = mesh.agents["a0"].load_report(mesh.now)
+        self.assertEqual(0.0, report.service_ms)
+        self.assertEqual(rules.enforced, report.outstanding > 0)
+
+    @params(
+        ("in use", {}, 100),
+        ("draining", {"draining": True}, 0),
+        ("restarted", {"started_ms": 9}, 0),
+    )
+    def test_state_explains(self, _: str, changes: dict, percent: int) -> None:
+        mesh = make_mesh()
+        rules = mesh.agents["a0"]
+        for number in range(40):
+            end_request(mesh, number, ("server", RST, 0))
+        if mesh.report("a0", **changes):
+            rules.forget_outcomes(mesh.now)
+        rules.judge_server(mesh.now)
+        self.assertEqual(percent, rules.load_report(mesh.now).failed_percent)
+
+    @params(("in use", 0.0, True), ("cold", 2.0, False))
+    def test_no_answer(self, _: str, cold_seconds: float, fails: bool) -> None:
+        mesh = make_mesh()
+        rules = mesh.agents["a0"]
+        mesh.report("a0", cold_seconds=cold_seconds)
+        rules.judge_server(mesh.now)
+        end_request(mesh, 1)
+        mesh.now += 1.1
+        rules.judge_server(mesh.now)
+        self.assertEqual(fails, rules.load_report(mesh.now).failed_percent > 0)
+
+
+class TestVerdict(unittest.TestCase):
+    """When a server that fails is left out, by what is known of its siblings."""
+
+    SOUND = SiblingState("b", False, True, 9.0, 0.0, 0.03)
+    IDLE = SiblingState("c", False, True, None, 0.0, 0.0)
+    FAILING = SiblingState("d", False, True, 9.0, 0.9, 0.03)
+    EJECTED = SiblingState("e", True, True, 9.0, 0.9, 0.03)
+    UNHEARD = SiblingState("f", False, False, None, 0.0, 0.0)
+
+    @params(
+        ("siblings answer", 8, [SOUND] * 7, True),
+        ("siblings are idle", 8, [IDLE] * 7, False),
+        ("most fail", 8, [SOUND] * 3 + [FAILING] * 4, False),
+        ("some fail", 8, [SOUND] * 4 + [FAILING] * 3, True),
+        ("share is used up", 8, [SOUND] * 5 + [EJECTED] * 2, False),
+        ("no room in a small service", 3, [SOUND] * 2, False),
+        ("cut off", 8, [UNHEARD] * 7, False),
+    )
+    def test_failures(
+        self, _: str, servers: int, siblings: list[SiblingState], ejected: bool
+    ) -> None:
+        counts = OutcomeCounts()
+        for _number in range(5):
+            counts.record(Outcome.RESET, 8.0)
+        judge = OutlierJudge(EJECT)
+        judge.review(Evidence("a", counts, 0.03, servers, siblings), 8.3)
+        self.assertEqual(ejected, judge.standing is Standing.EJECTED)
+
+    @params(("as fast", 0.03, False), ("slower", 0.1, False), ("slow", 0.2, True))
+    def test_slow(self, _: str, service_seconds: float, ejected: bool) -> None:
+        counts = OutcomeCounts()
+        for _number in range(40):
+            counts.record(Outcome.ANSWERED, 8.0)
+        judge = OutlierJudge(EJECT)
+        evidence = Evidence("a", counts, service_seconds, 8, [self.SOUND] * 7)
+        judge.review(evidence, 8.3)
+        self.assertEqual(ejected, judge.standing is Standing.EJECTED)
+
+    def test_time_grows(self) -> None:
+        judge, now, seconds = OutlierJudge(EJECT), 8.0, []
+        for _number in range(6):
+            counts = OutcomeCounts()
+            for _failure in range(5):
+                counts.record(Outcome.RESET, now)
+            sibling = SiblingState("b", False, True, now + 0.2, 0.0, 0.03)
+            evidence = Evidence("a", counts, 0.03, 8, [sibling] * 7)
+            judge.review(evidence, now + 0.3)
+            seconds.append(round(judge.ejected_seconds(now + 0.3)))
+            now += 0.3 + seconds[-1]
+            judge.review(evidence, now)
+            self.assertIs(Standing.ON_TRIAL, judge.standing)
+            self.assertTrue(judge.holds_back(0, False, now))
+            self.assertFalse(judge.holds_back(0, True, now))
+            judge.record_opening(now)
+            self.assertTrue(judge.holds_back(0, True, now))
+        self.assertEqual([2, 4, 8, 16, 32, 32], seconds)
+
+
+class TestTerms(unittest.TestCase):
+    """The platform's terms switch the detection on; other settings are kept."""
+
+    @params(
+        ([], "off", "off"),
+        (["base", "drain"], "off", "off"),
+        (["base", "health"], "off", "eject"),
+        (["health"], "observe", "observe"),
+    )
+    def test_mode(self, terms: list[str], mode: str, expected: str) -> None:
+        settings = PassthroughBalancerSettings(
+            node=NodeSection(name="n", data_centre="d"),
+            passthrough=None,
+            platform=PlatformSection(url="u", terms=terms),
+            outliers=OutliersSection(mode=mode),
+        )
+        self.assertEqual(expected, apply_terms(settings).outliers.mode)
+
+
 class TestKinds(unittest.TestCase):
     """Two of eight servers fail for 4 s, in each way in which a server may fail.
 
