--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -28,6 +28,7 @@
 from .placement.load_board import LoadBoard
 from .placement.outlier_watch import OutlierWatch
 from .placement.outliers import UNJUDGED, OutlierRules, Standing
+from .placement.server_review import ServerReview
 from .recovery.flow_locations import FlowLocations
 from .recovery.flow_search import FlowSearch
 from .recovery.offers import Offers
@@ -35,8 +36,6 @@
 
 # Registrations in one frame, 14 bytes each; a datagram has at most 1,200 bytes.
 MAX_REGISTRATIONS = 80
-# Maximum number of agents of the service that are told at once of an ejection.
-MAX_TOLD = 256
 
 
 class PassthroughAgent:
@@ -82,6 +81,7 @@
         self._locations = FlowLocations(host)
         self._offers = Offers()
         self._openings = OpeningHandler(self._state, self._offers)
+        self._review = ServerReview(self._state, self._openings.pass_on_queued)
         self._search = FlowSearch(self._state, self._offers, self._locations)
 
     @property
@@ -184,8 +184,7 @@
         else:
             self._state.flows.record_backend_packet(segment, flow, now)
         effects.append(ToCaller(caller_host(segment.flow), segment.data))
-        if self._state.outliers.is_due(now):
-            effects += self._review_server(now)
+        effects += self._review.on_backend_packet(now)
         if self._state.queue and (segment.size or segment.closing):
             effects += self._openings.admit_queued(now)
         return effects
@@ -253,44 +252,11 @@
 
     def on_ejected_sibling(self, now: float) -> list[PassthroughEffect]:
         """Check at once whether too many servers are left out, this one included."""
-        if self._state.outliers.standing is not Standing.EJECTED:
-            return []
-        return self._review_server(now)
+        return self._review.on_ejected_sibling(now)
 
     def judge_server(self, now: float) -> list[PassthroughEffect]:
         """Judge the backend server by what it has done with its flows so far."""
-        table = self._state.table
-        self._state.outliers.find_unanswered(
-            lambda key: table.route_of(key).aim_seconds, now
-        )
-        return self._review_server(now)
-
-    def _review_server(self, now: float) -> list[PassthroughEffect]:
-        """Judge the server; tell the agents of the service if its standing changes."""
-        state = self._state
-        if not state.outliers.enabled:
-            return []
-        report = state.gate.report
-        service = report.service if report is not None else ""
-        agents = [
-            agent
-            for agent in state.agents.get(service, ())
-            if agent.data_centre not in state.evacuated
-        ]
-        if not state.outliers.review(
-            agents, state.gate.refusal(service, now), state.gate.is_cold(now), now
-        ):
-            return []
-        if not state.outliers.enforced:
-            return []
-        frame = Load(state.load_report(now))
-        others = [agent.host for agent in agents if agent.host != state.host]
-        effects: list[PassthroughEffect] = [
-            ToPeer(host, frame) for host in others[:MAX_TOLD]
-        ]
-        if state.outliers.ejected_seconds(now):
-            effects += self._openings.pass_on_queued(now)
-        return effects
+        return self._review.judge(now)
 
     def _is_open(self, key: bytes) -> bool:
         flow = self._state.flows.get(key)
