--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -109,6 +109,12 @@
         """Return the standing of the backend server in placement."""
         return self._state.outliers.standing
 
+    @property
+    def is_ejected(self) -> bool:
+        """Tell whether the backend server gets no new flows because it fails them."""
+        outliers = self._state.outliers
+        return outliers.enforced and outliers.standing is Standing.EJECTED
+
     @property
     def failed_share(self) -> float:
         """Return the share of the recent requests that the backend server failed."""
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -85,7 +85,7 @@
             node.sync.directory_trust,
             _build_outlier_rules(node),
         )
-        self._sent_standing = Standing.IN_USE
+        self._sent_ejected = False
         self._directory = AgentDirectory(self._board.has_left)
         self._entry_writer = EntryWriter(node.settings.node.name, node.view, node.store)
         self._backend_transport: asyncio.DatagramTransport | None = None
@@ -378,10 +378,10 @@
             self._send_load(load, remote_siblings=True, remote_balancers=True)
 
     def _send_load_if_judged(self) -> None:
-        """Tell all balancers when the server is left out, or no longer."""
-        if self._agent.standing is self._sent_standing:
+        """Tell all peers when the server is left out, or no longer."""
+        if self._agent.is_ejected == self._sent_ejected:
             return
-        self._sent_standing = self._agent.standing
+        self._sent_ejected = self._agent.is_ejected
         load = self._agent.load_report(self._node.now())
         self._send_load(load, remote_siblings=True, remote_balancers=True)
 
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -8,7 +8,7 @@
 
 from nose2.tools import params
 
-from berylturn.connection.peer_frames import Forward
+from berylturn.connection.peer_frames import Forward, LoadReport
 from berylturn.connection.placement.outcome_counts import Outcome, OutcomeCounts
 from berylturn.connection.placement.outliers import (
     Evidence,
@@ -38,6 +38,7 @@
     caller_packet,
     flow_key,
 )
+from .test_load_reports import FAR, NEAR, make_daemon
 
 SERVERS = 8
 SHARE = 0.3
@@ -286,6 +287,21 @@
         self.assertEqual([2, 4, 8, 16, 32, 32], seconds)
 
 
+class TestReceivers(unittest.TestCase):
+    """All peers hear at once that a server is left out, or no longer."""
+
+    @params((False, True, NEAR | FAR), (True, False, NEAR | FAR), (True, True, set()))
+    def test_change(self, before: bool, after: bool, receivers: set[str]) -> None:
+        daemon, sent = make_daemon(LoadReport(True, 0.0, 0, 1, 0, []))
+        daemon._sent_ejected = before
+        daemon._agent.is_ejected = after
+        daemon._send_load_if_judged()
+        self.assertEqual(receivers, sent)
+        sent.clear()
+        daemon._send_load_if_judged()
+        self.assertEqual(set(), sent)
+
+
 class TestTerms(unittest.TestCase):
     """The platform's terms switch the detection on; other settings are kept."""
 
