--- a/src/berylturn/connection/flow_table.py
+++ b/src/berylturn/connection/flow_table.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from .placement.outcome_counts import Outcome, OutcomeCounts
 from .placement.work_meter import WorkMeter
 from .segments import Segment
 
@@ -56,6 +57,10 @@
         Time of admission; None if it was opened before this process started.
     requests : int
         Number of requests so far.
+    next_sequence : int or None
+        Sequence number after the newest data of the backend server; None if unknown.
+    overdue : bool
+        Whether the request in progress, or the opening, has counted as unanswered.
     """
 
     state: FlowState
@@ -68,6 +73,8 @@
     busy_since: float | None = None
     admitted_at: float | None = None
     requests: int = 0
+    next_sequence: int | None = None
+    overdue: bool = False
 
     def owns(self, segment: Segment) -> bool:
         """Tell whether a caller's packet, not an opening, belongs to this flow.
@@ -82,6 +89,21 @@
         progress = (segment.acknowledged - self.first_sequence) % SEQUENCE_RANGE
         return 0 < progress <= MAX_PROGRESS_BYTES
 
+    def record_data(self, segment: Segment) -> None:
+        """Record up to where data of the backend server has arrived."""
+        end = (segment.sequence + segment.size) % SEQUENCE_RANGE
+        if self.next_sequence is None or _is_ahead(end, self.next_sequence):
+            self.next_sequence = end
+
+    def expects_data(self, segment: Segment) -> bool:
+        """Tell whether data that the backend server sent before a packet is missing.
+
+        Packets may overtake one another.
+        """
+        return self.next_sequence is None or _is_ahead(
+            segment.sequence, self.next_sequence
+        )
+
 
 class FlowTable:
     """Store the flows of one backend server.
@@ -97,6 +119,10 @@
     ----------
     meter : WorkMeter
         Measures the server's work.
+    outcomes : OutcomeCounts or None
+        Counts how requests end; None if nobody judges the server by it.
+    hasty_answers_complete : bool
+        Whether answers that may be rejections count for the speed of the server.
     """
 
     def __init__(
@@ -105,6 +131,8 @@
         self._on_drop = on_drop
         self._observe = observe
         self.meter = WorkMeter()
+        self.outcomes: OutcomeCounts | None = None
+        self.hasty_answers_complete = True
         self._flows: dict[bytes, PassthroughFlow] = {}
         self._awaiting_request: dict[bytes, float] = {}
         self._running = 0
@@ -192,14 +220,14 @@
         if segment.accepting:
             if flow.state is FlowState.HALF_OPEN:
                 flow.first_sequence = segment.sequence
+                flow.next_sequence = (segment.sequence + 1) % SEQUENCE_RANGE
             return
         if segment.size:
-            answered = flow.busy_since is not None
-            if answered:
-                self._observe(now - flow.busy_since)
-            self._end_request(flow, now)
-            if answered:
-                self.meter.record_completion()
+            flow.record_data(segment)
+            if flow.busy_since is not None:
+                self._record_answer(segment, flow, now)
+        elif segment.closing or segment.reset:
+            self._record_ending(segment, flow, now)
         if segment.closing:
             flow.backend_closed = True
         if segment.reset or (flow.caller_closed and flow.backend_closed):
@@ -237,8 +265,39 @@
         """
         for key, flow in self._flows.items():
             if flow.busy_since is not None and now - flow.busy_since > timeout_of(key):
+                self._record_overdue(flow, now)
                 self._end_request(flow, now)
 
+    def record_unanswered(
+        self,
+        patience_of: Callable[[bytes], float],
+        opening_patience: float,
+        now: float,
+    ) -> None:
+        """Count the requests and openings without an answer for too long, once each.
+
+        Parameters
+        ----------
+        patience_of : callable
+            Returns the seconds within which a flow's request is to be answered.
+        opening_patience : float
+            Seconds within which an opening is to be answered.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        for key, flow in self._flows.items():
+            if flow.busy_since is not None:
+                late = now - flow.busy_since > patience_of(key)
+            else:
+                late = (
+                    flow.state is FlowState.HALF_OPEN
+                    and flow.first_sequence is None
+                    and flow.admitted_at is not None
+                    and now - flow.admitted_at > opening_patience
+                )
+            if late:
+                self._record_overdue(flow, now)
+
     def smooth_load(self, now: float) -> None:
         """Add the mean of running requests since the last call to the average."""
         self._change_running(0, now)
@@ -256,9 +315,45 @@
             self.meter.record_ended_flow(flow.requests)
         flow.state = FlowState.CLOSED
 
+    def _record_answer(
+        self, segment: Segment, flow: PassthroughFlow, now: float
+    ) -> None:
+        seconds = now - flow.busy_since
+        self._observe(seconds)
+        outcome = Outcome.ANSWERED
+        if self.outcomes is not None and not flow.overdue:
+            outcome = self.outcomes.record_answer(seconds, segment.size, now)
+        self._end_request(flow, now)
+        if outcome is Outcome.ANSWERED or self.hasty_answers_complete:
+            self.meter.record_completion()
+
+    def _record_ending(
+        self, segment: Segment, flow: PassthroughFlow, now: float
+    ) -> None:
+        """Count a flow that the server ends before the answer to a request."""
+        if self.outcomes is None or flow.caller_closed or flow.overdue:
+            return
+        if flow.expects_data(segment):
+            return
+        is_unused = (
+            segment.reset
+            and flow.state is not FlowState.CLOSED
+            and flow.admitted_at is not None
+            and not flow.requests
+        )
+        if flow.busy_since is not None or is_unused:
+            ending = Outcome.RESET if segment.reset else Outcome.CLOSED
+            self.outcomes.record(ending, now)
+
+    def _record_overdue(self, flow: PassthroughFlow, now: float) -> None:
+        if self.outcomes is not None and not flow.overdue and not flow.caller_closed:
+            flow.overdue = True
+            self.outcomes.record(Outcome.UNANSWERED, now)
+
     def _end_request(self, flow: PassthroughFlow, now: float) -> None:
         if flow.busy_since is not None:
             flow.busy_since = None
+            flow.overdue = False
             self._change_running(-1, now)
 
     def _change_running(self, change: int, now: float) -> None:
@@ -266,3 +361,8 @@
         self._running_changed_at = now
         self._running += change
         self.meter.change_running(self._running, now)
+
+
+def _is_ahead(sequence: int, other: int) -> bool:
+    """Tell whether a sequence number follows another within the bytes in transit."""
+    return 0 < (sequence - other) % SEQUENCE_RANGE <= MAX_PROGRESS_BYTES
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -26,6 +26,9 @@
 from .passthrough_state import PassthroughState
 from .peer_frames import Findings, Forward, Load, LoadReport, Owned, Registered
 from .placement.load_board import LoadBoard
+from .placement.outlier_watch import OutlierWatch
+from .placement.outliers import UNJUDGED, OutlierRules, Standing
+from .placement.server_review import ServerReview
 from .recovery.backend_reports import BackendReport, ProcessStart
 from .recovery.flow_locations import FlowLocations
 from .recovery.flow_search import FlowSearch
@@ -58,6 +61,8 @@
         clock.
     process : ProcessStart
         Start of this process.
+    outlier_rules : OutlierRules
+        Whether and how the backend server is judged by what it does with its flows.
     """
 
     def __init__(
@@ -70,14 +75,25 @@
         observe: Callable[[float], None],
         directory_trust: Callable[[float], DirectoryTrust],
         process: ProcessStart,
+        outlier_rules: OutlierRules = UNJUDGED,
     ) -> None:
         flows = FlowTable(gate.end_flow, observe)
+        outliers = OutlierWatch(host, outlier_rules, flows, board, log_decision)
         self._state = PassthroughState(
-            host, gate, board, flows, codec, log_decision, directory_trust, process
+            host,
+            gate,
+            board,
+            flows,
+            codec,
+            log_decision,
+            directory_trust,
+            process,
+            outliers,
         )
         self._locations = FlowLocations(host)
         self._offers = Offers()
         self._openings = OpeningHandler(self._state, self._offers)
+        self._review = ServerReview(self._state, self._openings.pass_on_queued)
         self._search = FlowSearch(self._state, self._offers, self._locations)
 
     @property
@@ -100,6 +116,22 @@
         """Return the number of queued openings."""
         return len(self._state.queue)
 
+    @property
+    def standing(self) -> Standing:
+        """Return the standing of the backend server in placement."""
+        return self._state.outliers.standing
+
+    @property
+    def is_ejected(self) -> bool:
+        """Tell whether the backend server gets no new flows because it fails them."""
+        outliers = self._state.outliers
+        return outliers.enforced and outliers.standing is Standing.EJECTED
+
+    @property
+    def failed_share(self) -> float:
+        """Return the share of the recent requests that the backend server failed."""
+        return self._state.outliers.failed_share
+
     @property
     def registered(self) -> int:
         """Return the number of flows of other agents that are registered here."""
@@ -172,6 +204,7 @@
         else:
             self._state.flows.record_backend_packet(segment, flow, now)
         effects.append(ToCaller(caller_host(segment.flow), segment.data))
+        effects += self._review.on_backend_packet(now)
         if self._state.queue and (segment.size or segment.closing):
             effects += self._openings.admit_queued(now)
         return effects
@@ -204,6 +237,10 @@
         """
         return self._search.has_lost_power(host, now)
 
+    def forget_outcomes(self, now: float) -> None:
+        """Forget what the backend server did before it restarted."""
+        self._state.outliers.forget(now)
+
     def on_backend_restarted(self) -> list[PassthroughEffect]:
         """Resend the newest packet of each open flow, to find the lost flows."""
         return [
@@ -265,6 +302,14 @@
         registrations = self._locations.pop_remote_registrations(self._is_open)
         return _batch_registrations(registrations)
 
+    def on_ejected_sibling(self, now: float) -> list[PassthroughEffect]:
+        """Check at once whether too many servers are left out, this one included."""
+        return self._review.on_ejected_sibling(now)
+
+    def judge_server(self, now: float) -> list[PassthroughEffect]:
+        """Judge the backend server by what it has done with its flows so far."""
+        return self._review.judge(now)
+
     def _is_open(self, key: bytes) -> bool:
         flow = self._state.flows.get(key)
         return flow is not None and flow.state is FlowState.OPEN
@@ -329,6 +374,7 @@
             return self._search.on_not_held(frame, original, now)
         if flow is not None and flow.state is FlowState.HALF_OPEN:
             self._state.flows.drop(segment.flow)
+        self._state.outliers.record_returned(now)
         return self._openings.handle_returned(frame, original, now)
 
     def _on_flow_lost(
--- a/src/berylturn/connection/passthrough_state.py
+++ b/src/berylturn/connection/passthrough_state.py
@@ -14,6 +14,7 @@
 from .passthrough_effects import LogDecision
 from .peer_frames import Forward, LoadReport
 from .placement.load_board import LoadBoard
+from .placement.outlier_watch import OutlierWatch
 from .recovery.backend_reports import ProcessStart
 from .recovery.server_signs import ServerSigns
 from .segments import Segment, SegmentCodec
@@ -41,6 +42,8 @@
         Returns how complete `agents` is at a time on the monotonic clock.
     process : ProcessStart
         Start of this process.
+    outliers : OutlierWatch
+        Judges the backend server by what it does with its flows.
     table : RouteTable
         Routes in force.
     agents : dict of str to list of AgentEntry
@@ -65,6 +68,7 @@
     log_decision: LogDecision
     directory_trust: Callable[[float], DirectoryTrust]
     process: ProcessStart
+    outliers: OutlierWatch
     table: RouteTable = field(default_factory=RouteTable)
     agents: dict[str, list[AgentEntry]] = field(default_factory=dict)
     evacuated: frozenset[str] = frozenset()
@@ -116,7 +120,10 @@
             stopping=self.stopping,
             cold=self.gate.is_cold(now),
             backend_left=self.gate.has_left,
-            outstanding=self.outstanding(now),
+            outstanding=self.outstanding(now) + self.outliers.aversion(now),
             service_ms=1000 * (self.flows.meter.service_seconds or 0.0),
             short_flows=self.flows.meter.has_short_flows,
+            ejected_ms=1000 * self.outliers.ejected_seconds(now),
+            failed_percent=round(100 * self.outliers.failed_share),
+            answer_age_ms=self.outliers.answer_age_ms(now),
         )
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -56,6 +56,10 @@
         Milliseconds that an opening queued now is expected to wait for its admission.
     pledged : float
         Mean number of slots that the requests of the open flows occupy.
+    failed_percent : int
+        Percentage of the recent requests that the server failed.
+    answer_age_ms : int or None
+        Milliseconds since the server's newest answer; None without a recent one.
     """
 
     accepting: bool
@@ -73,6 +77,8 @@
     ejected_ms: Annotated[float, Meta(ge=0)] = 0.0
     wait_ms: Annotated[float, Meta(ge=0)] = 0.0
     pledged: Annotated[float, Meta(ge=0, le=MAX_REQUESTS)] = 0.0
+    failed_percent: Annotated[int, Meta(ge=0, le=100)] = 0
+    answer_age_ms: Annotated[int, Meta(ge=0)] | None = None
 
 
 class Forward(msgspec.Struct, array_like=True, tag=1):
