Keep shares of callers while more ask than can be served

Cause: the queue knew priority and time left, not who asks, so a caller that asks for many times its share got it at the others' expense. Change: with [fairness] callers = address, an agent keeps a virtual clock for each caller (Zhang, 1990), orders its queue by the caller's lead and refuses in lasting overload who is ahead of its share (over_share). Off without the key. The entry of the queue and the refusals move to modules of their own.

--- a/src/berylturn/connection/admission/opening_queue.py
+++ b/src/berylturn/connection/admission/opening_queue.py
@@ -45,6 +45,8 @@
         Time from which an admission has no use for the caller.
     request_ends_at : float
         Time from which an admission in a later attempt has no use for it either.
+    lead_seconds : float
+        By how much its caller is ahead of its share.
     """
 
     frame: Forward
@@ -55,6 +57,7 @@
     useful_until: float = math.inf
     expires_at: float = math.inf
     request_ends_at: float = math.inf
+    lead_seconds: float = 0.0
 
     @property
     def has_objective(self) -> bool:
@@ -70,7 +73,8 @@
     without an objective, the newest of a priority comes first: the callers of the
     oldest are about to give up (adaptive LIFO: Maurer, Fail at Scale, 2015). A backlog
     whose cause has an end is worked off: there, the attempt that ends first comes
-    first.
+    first. An opening of a caller that is ahead of its share queues as if it had come
+    later by that.
 
     Attributes
     ----------
@@ -154,7 +158,7 @@
             order = opening.expires_at
         else:
             order = -opening.arrived_at
-        return not in_time, opening.priority, order
+        return not in_time, opening.priority, order + opening.lead_seconds
 
 
 def remaining_attempt_seconds(segment: Segment) -> float:
--- a/src/berylturn/connection/admission/passthrough_openings.py
+++ b/src/berylturn/connection/admission/passthrough_openings.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from ...version.owners import AgentEntry, rank_agents
-from ..passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
+from ..passthrough_effects import PassthroughEffect, ToBackend, ToPeer
 from ..passthrough_state import PassthroughState
 from ..peer_frames import Forward, Owned, next_forward
 from ..placement.load_board import choose_for_opening, choose_soonest
 from ..placement.work_meter import WorkMeter
 from ..recovery.offers import Offers
-from ..segments import Segment
+from ..segments import Segment, caller_address
 from .cold_start import (
     ColdStart,
     Prospect,
@@ -22,6 +22,8 @@
     QueuedOpening,
     remaining_attempt_seconds,
 )
+from .opening_refusals import OpeningRefusals
+from .queued_opening import make_queued
 
 # Bounds the forwarding, so that an opening which no agent admits is answered before
 # the caller retransmits it (after 200 ms).
@@ -34,8 +36,6 @@
 # Margin for requests that take longer than the mean, as a multiple of the service time,
 # when an opening is refused because it is not expected to be answered in time.
 SPREAD_FACTOR = 2.0
-# Time for an answer from the backend server to its caller.
-RETURN_SECONDS = 0.01
 
 
 class OpeningHandler:
@@ -53,6 +53,7 @@
         self._state = state
         self._offers = offers
         self._queue = state.queue
+        self._refusals = OpeningRefusals(state)
 
     @property
     def _meter(self) -> WorkMeter:
@@ -66,7 +67,9 @@
             return []
         service = self._state.service_of(frame, segment)
         if service is None:
-            return self._refuse(frame, segment, "no_route", now)
+            return self._refusals.refuse(frame, segment, "no_route", now)
+        if self._state.shares is not None:
+            self._state.shares.record(caller_address(segment.flow), now)
         reason = self._state.gate.refusal(service, now)
         if self._state.stopping and reason is None:
             reason = "stopping"
@@ -74,6 +77,7 @@
             reason = "busy"
         if reason is not None:
             return self._forward_to_sibling(frame, segment, service, reason, now)
+        self._refusals.charge(segment, 1.0, now)
         return self._admit(frame, segment, now, now)
 
     def handle_returned(
@@ -82,17 +86,17 @@
         """Forward, queue or refuse an opening that the backend server returned."""
         service = self._state.service_of(frame, segment)
         if service is None:
-            return self._refuse(frame, segment, "no_route", now)
+            return self._refusals.refuse(frame, segment, "no_route", now)
         return self._forward_to_sibling(frame, segment, service, "backend_refused", now)
 
     def admit_queued(self, now: float) -> list[PassthroughEffect]:
         """Admit queued openings while there is capacity, and refuse expired ones."""
         effects: list[PassthroughEffect] = []
         for opening in self._queue.pop_expired(now):
-            effects += self._refuse(opening.frame, opening.segment, "waited", now)
+            effects += self._refusals.refuse_queued(opening, "waited", now)
         if self._is_overloaded(now):
             for opening in self._queue.pop_late(now):
-                effects += self._refuse(opening.frame, opening.segment, "late", now)
+                effects += self._refusals.refuse_queued(opening, "late", now)
         elif self._state.gate.is_cold(now):
             effects += self._end_hopeless(now)
         while self._queue and self._has_capacity_for_queued(now):
@@ -118,7 +122,7 @@
         while self._queue:
             opening = self._queue.peek(now)
             self._queue.remove(opening)
-            effects += self._refuse(opening.frame, opening.segment, "stopping", now)
+            effects += self._refusals.refuse_queued(opening, "stopping", now)
         return effects
 
     def _has_capacity_for_queued(self, now: float) -> bool:
@@ -174,7 +178,7 @@
             if prospect in (Prospect.COME_BACK, Prospect.NONE):
                 reason = "come_back" if prospect is Prospect.COME_BACK else "late"
                 self._queue.remove(opening)
-                effects += self._refuse(opening.frame, opening.segment, reason, now)
+                effects += self._refusals.refuse_queued(opening, reason, now)
         return effects
 
     def _cold_start(self) -> ColdStart:
@@ -231,14 +235,14 @@
             wait = self._expected_wait(reason, now)
             if wait is not None and wait <= remaining_attempt_seconds(segment):
                 return self._enqueue(frame, segment, service, reason, wait, now)
-            return self._refuse(frame, segment, reason, now)
+            return self._refusals.refuse(frame, segment, reason, now)
         return self._pass_on(frame, segment, service, reason, chosen, now)
 
     def _wait_while_cold(
         self, frame: Forward, segment: Segment, service: str, now: float
     ) -> list[PassthroughEffect]:
         """Queue, pass on or refuse an opening that the cold limit does not admit."""
-        opening = self._make_queued(frame, segment, service, now)
+        opening = make_queued(self._state, frame, segment, service, now)
         if opening.has_objective:
             ahead = self._queue.count_ahead(opening, now)
             place_at = self._state.gate.next_cold_place(ahead, now)
@@ -255,7 +259,7 @@
             wait = place_at - now
             return self._enqueue(frame, segment, service, "cold", wait, now)
         reason = "come_back" if prospect is Prospect.COME_BACK else "cold"
-        return self._refuse(frame, segment, reason, now)
+        return self._refusals.refuse(frame, segment, reason, now)
 
     def _pass_on(
         self,
@@ -338,13 +342,12 @@
         expected: float,
         now: float,
     ) -> list[PassthroughEffect]:
-        opening = self._make_queued(frame, segment, service, now)
+        opening = make_queued(self._state, frame, segment, service, now)
         ahead = self._queue.count_ahead(opening, now)
         if self._is_overloaded(now):
-            margin = SPREAD_FACTOR * self._meter.expected_service_seconds
-            admitted_at = now + ahead * self._meter.seconds_per_request
-            if admitted_at + margin > opening.useful_until:
-                return self._refuse(frame, segment, "overloaded", now)
+            reason = self._overload_refusal(opening, ahead, now)
+            if reason is not None:
+                return self._refusals.refuse_unqueued(opening, reason, now)
         self._state.log_decision(
             "flow_waits",
             segment.flow,
@@ -356,10 +359,25 @@
             ToPeer(frame.origin, Owned(segment.flow, self._state.load_report(now)))
         ]
         self._queue.add(opening)
+        self._refusals.charge(opening.segment, 1.0, now)
         for excess in self._queue.pop_excess(self._queue_limit(reason), now):
-            effects += self._refuse(excess.frame, excess.segment, "queue_full", now)
+            effects += self._refusals.refuse_queued(excess, "queue_full", now)
         return effects
 
+    def _overload_refusal(
+        self, opening: QueuedOpening, ahead: int, now: float
+    ) -> str | None:
+        """Return why an opening is not queued while more come than can be served.
+
+        A caller that is ahead of its share would take the place of one that comes
+        next, or wait until it is late.
+        """
+        if opening.lead_seconds > 0:
+            return "over_share"
+        margin = SPREAD_FACTOR * self._meter.expected_service_seconds
+        admitted_at = now + ahead * self._meter.seconds_per_request
+        return "overloaded" if admitted_at + margin > opening.useful_until else None
+
     def _queue_limit(self, reason: str) -> int:
         """Return how many openings can be admitted within their callers' attempts."""
         if reason != "busy":
@@ -367,40 +385,3 @@
         return int(
             (ATTEMPT_SECONDS - TRANSIT_SECONDS) / self._meter.seconds_per_request
         )
-
-    def _make_queued(
-        self, frame: Forward, segment: Segment, service: str, now: float
-    ) -> QueuedOpening:
-        route = self._state.table.route_of(segment.flow)
-        meter = self._meter
-        first_sent_at = now - segment.opening_age
-        # After the admission, the request arrives, waits for those before it in the
-        # server and is processed.
-        in_server = (meter.limit - 1) * meter.seconds_per_request
-        in_server += meter.expected_service_seconds
-        remaining = meter.gap_seconds + in_server + RETURN_SECONDS
-        attempt_ends_at = now + remaining_attempt_seconds(segment)
-        request_ends_at = first_sent_at + route.timeout_seconds - remaining
-        return QueuedOpening(
-            frame,
-            segment,
-            service,
-            now,
-            route.priority,
-            first_sent_at + route.aim_seconds - remaining,
-            min(attempt_ends_at, request_ends_at),
-            request_ends_at,
-        )
-
-    def _refuse(
-        self, frame: Forward, segment: Segment, reason: str, now: float
-    ) -> list[PassthroughEffect]:
-        self._state.log_decision(
-            "flow_refused",
-            segment.flow,
-            reason=reason,
-            hops=len(frame.visited),
-            version=self._state.table.version,
-            report_age=now - self._state.gate.reported_at,
-        )
-        return [reset_caller(self._state.codec, segment.flow, segment.acknowledged)]
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -12,6 +12,7 @@
 from ..version.agent_directory import DirectoryTrust
 from ..version.owners import AgentEntry
 from ..version.routes import RouteTable
+from .admission.caller_shares import CallerShares
 from .admission.opening_gate import OpeningGate
 from .admission.passthrough_openings import OpeningHandler
 from .flow_table import FlowState, FlowTable, PassthroughFlow
@@ -55,6 +56,8 @@
     directory_trust : callable
         Returns how complete the directory of agents is at a time on the monotonic
         clock.
+    shares : CallerShares or None
+        Shares of callers while openings wait; None if callers are not told apart.
     """
 
     def __init__(
@@ -66,10 +69,18 @@
         log_decision: LogDecision,
         observe: Callable[[float], None],
         directory_trust: Callable[[float], DirectoryTrust],
+        shares: CallerShares | None = None,
     ) -> None:
         flows = FlowTable(gate.end_flow, observe)
         self._state = PassthroughState(
-            host, gate, board, flows, codec, log_decision, directory_trust
+            host,
+            gate,
+            board,
+            flows,
+            codec,
+            log_decision,
+            directory_trust,
+            shares=shares,
         )
         self._locations = FlowLocations(host)
         self._offers = Offers()
@@ -101,6 +112,13 @@
         """Return the number of flows of other agents that are registered here."""
         return len(self._locations)
 
+    def callers_ahead(self, now: float) -> int:
+        """Return the number of callers that are ahead of their share."""
+        shares = self._state.shares
+        if shares is None:
+            return 0
+        return shares.count_ahead(self._state.flows.meter.seconds_per_request, now)
+
     def set_newest(self, newest: list[int]) -> None:
         """Set the newest revision of each kind of object, for load reports."""
         self._state.newest = newest
--- a/src/berylturn/connection/passthrough_state.py
+++ b/src/berylturn/connection/passthrough_state.py
@@ -8,6 +8,7 @@
 from ..version.agent_directory import DirectoryTrust
 from ..version.owners import AgentEntry
 from ..version.routes import RouteTable
+from .admission.caller_shares import CallerShares
 from .admission.opening_gate import OpeningGate
 from .admission.opening_queue import OpeningQueue
 from .flow_table import FlowTable
@@ -49,6 +50,8 @@
         Whether the agent is shutting down.
     queue : OpeningQueue
         Openings that wait for capacity at the backend server.
+    shares : CallerShares or None
+        Shares of callers while openings wait; None if callers are not told apart.
     """
 
     host: str
@@ -64,6 +67,7 @@
     newest: list[int] = field(default_factory=list)
     stopping: bool = False
     queue: OpeningQueue = field(default_factory=OpeningQueue)
+    shares: CallerShares | None = None
 
     def service_of(self, frame: Forward, segment: Segment) -> str | None:
         """Return a flow's service by the newer of the sender's and the own routes."""
--- a/src/berylturn/connection/segments.py
+++ b/src/berylturn/connection/segments.py
@@ -74,6 +74,11 @@
     return f"{caller}:{ports[0]}>{service}:{ports[1]}"
 
 
+def caller_address(flow: bytes) -> bytes:
+    """Return the caller's packed IP address from the key of a flow."""
+    return flow[:4]
+
+
 def caller_host(flow: bytes) -> str:
     """Return the caller's IP address from the key of a flow."""
     return ".".join(map(str, flow[:4]))
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from ..clock import epoch_milliseconds
+from ..connection.admission.caller_shares import CallerShares
 from ..connection.admission.opening_gate import GateBounds, OpeningGate
 from ..connection.passthrough import PassthroughAgent
 from ..connection.passthrough_effects import PassthroughEffect, ToBackend
@@ -74,6 +75,8 @@
         self._node = node
         self._gate = OpeningGate(_build_gate_bounds(node), _find_process_start(node))
         self._board = LoadBoard()
+        tells_callers_apart = node.settings.fairness.callers == "address"
+        self._shares = CallerShares() if tells_callers_apart else None
         self._agent = PassthroughAgent(
             node.host,
             self._gate,
@@ -82,6 +85,7 @@
             node.log_decision,
             lambda seconds: node.metrics.time("response", seconds),
             node.sync.directory_trust,
+            self._shares,
         )
         self._directory = AgentDirectory(self._board.has_left)
         self._entry_writer = EntryWriter(node.settings.node.name, node.view, node.store)
@@ -407,6 +411,9 @@
             node.metrics.gauge("flows", len(self._agent.flows))
             node.metrics.gauge("registered", self._agent.registered)
             node.metrics.gauge("running", self._agent.running)
+            if self._shares is not None:
+                node.metrics.gauge("callers", len(self._shares))
+                node.metrics.gauge("callers_ahead", self._agent.callers_ahead(now))
 
     async def _run_sweeps(self) -> None:
         while True:
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from berylturn.connection.admission.caller_shares import CallerShares
 from berylturn.connection.admission.opening_gate import GateBounds, OpeningGate
 from berylturn.connection.passthrough import PassthroughAgent
 from berylturn.connection.passthrough_effects import ToBackend, ToCaller, ToPeer
@@ -121,6 +122,9 @@
         Data centre of each balancer, by name.
     """
 
+    # Whether agents keep shares of callers.
+    tells_callers_apart = False
+
     def __init__(
         self, agents: dict[str, tuple[str, str]], balancers: dict[str, str]
     ) -> None:
@@ -167,6 +171,7 @@
             self._log_decision,
             lambda seconds: None,
             lambda now: DirectoryTrust(name not in self.uncertain, self.known_seconds),
+            CallerShares() if self.tells_callers_apart else None,
         )
         self.agents[name] = rules
         rules.set_table(self.table)
