--- a/src/berylturn/connection/passthrough_state.py
+++ b/src/berylturn/connection/passthrough_state.py
@@ -8,6 +8,7 @@
 from ..version.agent_directory import DirectoryTrust
 from ..version.owners import AgentEntry
 from ..version.routes import RouteTable
+from .admission.caller_shares import CallerShares
 from .admission.opening_gate import OpeningGate
 from .admission.opening_queue import OpeningQueue
 from .flow_table import FlowTable
@@ -58,6 +59,8 @@
         Openings that wait for capacity at the backend server.
     signs : ServerSigns
         Signs of life of the backend server.
+    shares : CallerShares or None
+        Shares of callers while openings wait; None if callers are not told apart.
     """
 
     host: str
@@ -75,6 +78,7 @@
     newest: list[int] = field(default_factory=list)
     stopping: bool = False
     queue: OpeningQueue = field(default_factory=OpeningQueue)
+    shares: CallerShares | None = None
     signs: ServerSigns = field(init=False)
 
     def __post_init__(self) -> None:
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from ..clock import epoch_milliseconds
+from ..connection.admission.caller_shares import CallerShares
 from ..connection.admission.opening_gate import GateBounds, OpeningGate
 from ..connection.passthrough import PassthroughAgent
 from ..connection.passthrough_effects import PassthroughEffect, ToBackend
@@ -76,6 +77,8 @@
         process = _find_process_start(node)
         self._gate = OpeningGate(_build_gate_bounds(node), process)
         self._board = LoadBoard()
+        tells_callers_apart = node.settings.fairness.callers == "address"
+        self._shares = CallerShares() if tells_callers_apart else None
         self._agent = PassthroughAgent(
             node.host,
             self._gate,
@@ -86,6 +89,7 @@
             node.sync.directory_trust,
             process,
             _build_outlier_rules(node),
+            self._shares,
         )
         self._sent_ejected = False
         self._directory = AgentDirectory(
@@ -441,6 +445,9 @@
             is_in_use = self._agent.standing is Standing.IN_USE
             node.metrics.gauge("left_out", 0 if is_in_use else 1)
             node.metrics.gauge("failed_share", self._agent.failed_share)
+            if self._shares is not None:
+                node.metrics.gauge("callers", len(self._shares))
+                node.metrics.gauge("callers_ahead", self._agent.callers_ahead(now))
 
     async def _run_sweeps(self) -> None:
         while True:
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from berylturn.connection.admission.caller_shares import CallerShares
 from berylturn.connection.admission.opening_gate import GateBounds, OpeningGate
 from berylturn.connection.passthrough import PassthroughAgent
 from berylturn.connection.passthrough_effects import ToBackend, ToCaller, ToPeer
@@ -123,6 +124,8 @@
     """
 
     outlier_rules = OutlierRules()
+    # Whether agents keep shares of callers.
+    tells_callers_apart = False
 
     def __init__(
         self, agents: dict[str, tuple[str, str]], balancers: dict[str, str]
@@ -172,6 +175,7 @@
             lambda now: DirectoryTrust(name not in self.uncertain, self.known_seconds),
             process,
             self.outlier_rules,
+            CallerShares() if self.tells_callers_apart else None,
         )
         self.agents[name] = rules
         rules.set_table(self.table)
