Tell agents that search that one without a server ends

Change: such an agent tells those that asked it in the last 5 s; they go on without it while they know of the loss of power, it stays silent and its word is at most 3 s old. An answer that names a found owner no longer loses what was known of its start. Result: test_word_of_an_agent_that_is_stopped, 2 cases.

--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -114,9 +114,15 @@
         self._state.flows.meter.set_slots(slots)
 
     def stop(self, now: float) -> list[PassthroughEffect]:
-        """Stop admitting openings and refuse the queued ones."""
+        """Stop admitting openings and refuse the queued ones.
+
+        Agents that search for flows are told if none can be held here.
+        """
         self._state.stopping = True
-        return self._openings.refuse_queued(now)
+        effects = self._openings.refuse_queued(now)
+        if self.has_lost_server(now):
+            effects += self._search.tell_of_stop(now)
+        return effects
 
     def admit_queued(self, now: float) -> list[PassthroughEffect]:
         """Admit queued openings while there is capacity, and refuse expired ones."""
@@ -312,7 +318,8 @@
         owned = Owned(segment.flow, self._state.load_report(now))
         effects: list[PassthroughEffect] = [ToPeer(frame.origin, owned)]
         if frame.inquirer:
-            held = Findings([(segment.flow, self._state.host)], [], [])
+            held = self._search.prepare_findings(now)
+            held.held.append((segment.flow, self._state.host))
             effects.append(ToPeer(frame.inquirer, held))
         return effects
 
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -181,6 +181,8 @@
         Whether the backend server has reported to the sender since then.
     started_later : bool
         Whether the backend server started long after the sender.
+    stopping : bool
+        Whether the sender ends now, beside a server that holds no open flow.
     """
 
     held: list[tuple[bytes, str]]
@@ -191,6 +193,7 @@
     process_seconds: Annotated[float, Meta(ge=0)] = 0.0
     has_reported: bool = True
     started_later: bool = False
+    stopping: bool = False
 
 
 class ViewInquiry(msgspec.Struct, array_like=True, tag=8):
--- a/src/berylturn/connection/recovery/flow_end.py
+++ b/src/berylturn/connection/recovery/flow_end.py
@@ -11,12 +11,9 @@
 from ..passthrough_effects import PassthroughEffect, reset_caller
 from ..passthrough_state import PassthroughState
 from ..peer_frames import Findings
-from .flow_inquiry import PendingInquiry, combine_started_together
+from .flow_inquiry import LOGGED_HOSTS, PendingInquiry, combine_started_together
 from .power_loss import AgentStart, AgentStarts
 
-# Agents named in a log line.
-LOGGED_HOSTS = 5
-
 
 class FlowEnd:
     """Decide whether a flow that nobody holds is reset.
@@ -38,6 +35,7 @@
             findings.started_together,
             findings.has_reported,
             findings.started_later,
+            findings.stopping,
             now,
         )
         self._starts.record(host, start)
@@ -62,11 +60,26 @@
             state.gate.started_together,
             state.signs.has_reported,
             state.signs.started_later,
+            state.stopping,
             now,
         )
         self._starts.record(state.host, own)
         return self._starts.lost_power(host, state.data_centres(), now)
 
+    def has_departed(self, host: str, now: float) -> bool:
+        """Tell whether another agent was stopped beside a server that lost power.
+
+        Parameters
+        ----------
+        host : str
+            IP address of the agent.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        if not self._starts.was_stopped(host):
+            return False
+        return self._starts.lost_power(host, self._state.data_centres(), now)
+
     def end_not_found(
         self, inquiry: PendingInquiry, own_missing: bool, now: float
     ) -> list[PassthroughEffect]:
--- a/src/berylturn/connection/recovery/flow_inquiry.py
+++ b/src/berylturn/connection/recovery/flow_inquiry.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
@@ -28,6 +29,13 @@
 MAX_KEYS_PER_FRAME = 80
 # About 1.5 KB each, with the buffered packet.
 MAX_INQUIRIES = 5_000
+# Age from which a search counts as waiting, and interval of the log lines on those.
+WAIT_SECONDS = 0.5
+WAIT_LOG_SECONDS = 1.0
+# Oldest searches that are examined for a line.
+MAX_EXAMINED = 200
+# Agents named in a log line.
+LOGGED_HOSTS = 5
 
 
 @dataclass(slots=True)
@@ -78,6 +86,7 @@
     def __init__(self) -> None:
         self._pending: dict[bytes, PendingInquiry] = {}
         self._unsent: dict[str, list[bytes]] = {}
+        self._wait_described_at = float("-inf")
 
     def __len__(self) -> int:
         return len(self._pending)
@@ -171,6 +180,37 @@
             inquiry.unsure.add(host)
         return inquiry
 
+    def describe_waiting(
+        self, find_silent: Callable[[PendingInquiry], list[str]], now: float
+    ) -> dict[str, object] | None:
+        """Return, at most once a second, for which agents searches have been waiting.
+
+        Parameters
+        ----------
+        find_silent : callable
+            Returns the IP addresses of the agents that have not answered an inquiry.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        if now - self._wait_described_at < WAIT_LOG_SECONDS:
+            return None
+        waiting = [
+            inquiry
+            for inquiry in self._pending.values()
+            if now - inquiry.started_at > WAIT_SECONDS
+        ]
+        if not waiting:
+            return None
+        self._wait_described_at = now
+        awaited: Counter[str] = Counter()
+        for inquiry in waiting[:MAX_EXAMINED]:
+            awaited.update({*find_silent(inquiry), inquiry.offered_to} - {""})
+        return {
+            "searches": len(waiting),
+            "seconds": max(now - inquiry.started_at for inquiry in waiting),
+            "agents": dict(awaited.most_common(LOGGED_HOSTS)),
+        }
+
     def pop_unsent(self) -> list[tuple[str, list[bytes]]]:
         """Remove and return the queued keys in frames, with the IP address to ask."""
         unsent, self._unsent = self._unsent, {}
--- a/src/berylturn/connection/recovery/flow_search.py
+++ b/src/berylturn/connection/recovery/flow_search.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
-
 from ...version.owners import rank_agents
 from ..flow_table import FlowState
 from ..passthrough_effects import PassthroughEffect, ToBackend, ToPeer
@@ -11,8 +9,8 @@
 from ..peer_frames import Findings, Forward, Inquiry, next_forward
 from ..placement.load_board import ANSWER_TIMEOUT_SECONDS
 from ..segments import Segment
-from .flow_end import LOGGED_HOSTS, FlowEnd
-from .flow_inquiry import REPEAT_SECONDS, Inquiries, PendingInquiry
+from .flow_end import FlowEnd
+from .flow_inquiry import LOGGED_HOSTS, REPEAT_SECONDS, Inquiries, PendingInquiry
 from .flow_locations import FlowLocations
 from .offers import Offers
 from .server_signs import ANSWER_SECONDS
@@ -20,11 +18,8 @@
 # An agent that is restarted answers again within this time. One that is silent for
 # longer is asked only when the caller sends again.
 RESTART_SECONDS = 3.0
-# Age from which a search counts as waiting, and interval of the log lines on those.
-WAIT_SECONDS = 0.5
-WAIT_LOG_SECONDS = 1.0
-# Oldest searches that are examined for a line.
-MAX_EXAMINED = 200
+# Age of an agent's inquiry up to which it is told that this one ends.
+INQUIRER_SECONDS = 5.0
 
 
 class FlowSearch:
@@ -52,7 +47,8 @@
         self._locations = locations
         self._inquiries = Inquiries()
         self._end = FlowEnd(state)
-        self._wait_logged_at = float("-inf")
+        # When each agent last asked for owners, the newest one last.
+        self._inquirers: dict[str, float] = {}
 
     @property
     def is_searching(self) -> bool:
@@ -81,6 +77,8 @@
         """Stop to wait for agents that are no longer in use, and forget their words."""
         data_centres = self._state.data_centres()
         self._end.keep_only(data_centres)
+        for host in self._inquirers.keys() - data_centres.keys():
+            del self._inquirers[host]
         for inquiry in self._inquiries.pending():
             if inquiry.offered_to not in data_centres:
                 inquiry.offered_to = ""
@@ -110,7 +108,7 @@
     ) -> list[PassthroughEffect]:
         """Continue the search when the own backend server does not hold the flow."""
         if frame.inquirer:
-            findings = self._prepare_findings(now)
+            findings = self.prepare_findings(now)
             findings.absent.append(segment.flow)
             return [ToPeer(frame.inquirer, findings)]
         return self._search(frame, segment, "", now)
@@ -120,12 +118,13 @@
     ) -> list[PassthroughEffect]:
         """Continue the search when no server answers beside this agent."""
         if frame.inquirer:
-            findings = self._prepare_findings(now)
+            findings = self.prepare_findings(now)
             findings.unsure.append(segment.flow)
             return [ToPeer(frame.inquirer, findings)]
         return self._search(frame, segment, "", now)
 
-    def _prepare_findings(self, now: float) -> Findings:
+    def prepare_findings(self, now: float) -> Findings:
+        """Return an answer without flows, with what is known of the own server."""
         return Findings(
             [],
             [],
@@ -150,7 +149,9 @@
                 offered_to=inquiry.offered_to,
                 silent=self._find_silent(inquiry)[:LOGGED_HOSTS],
             )
-        self._log_waiting(now)
+        waiting = self._inquiries.describe_waiting(self._find_silent, now)
+        if waiting is not None:
+            self._state.log_decision("searches_wait", b"", **waiting)
         effects: list[PassthroughEffect] = []
         if self._state.server_missing(now):
             for frame, segment in self._offers.pop_unanswered(now - ANSWER_SECONDS):
@@ -169,35 +170,13 @@
                 effects += self._offer_next(inquiry, now)
         return effects
 
-    def _log_waiting(self, now: float) -> None:
-        """Log, at most once a second, for which agents searches have been waiting."""
-        if now - self._wait_logged_at < WAIT_LOG_SECONDS:
-            return
-        waiting = [
-            inquiry
-            for inquiry in self._inquiries.pending()
-            if now - inquiry.started_at > WAIT_SECONDS
-        ]
-        if not waiting:
-            return
-        self._wait_logged_at = now
-        awaited: Counter[str] = Counter()
-        for inquiry in waiting[:MAX_EXAMINED]:
-            hosts = {*self._find_silent(inquiry), inquiry.offered_to} - {""}
-            awaited.update(hosts)
-        self._state.log_decision(
-            "searches_wait",
-            b"",
-            searches=len(waiting),
-            seconds=max(now - inquiry.started_at for inquiry in waiting),
-            agents=dict(awaited.most_common(LOGGED_HOSTS)),
-        )
-
     def on_inquiry(
         self, host: str, flows: list[bytes], now: float
     ) -> list[PassthroughEffect]:
         """Answer another agent from the flow table and the registered locations."""
-        findings = self._prepare_findings(now)
+        self._inquirers.pop(host, None)
+        self._inquirers[host] = now
+        findings = self.prepare_findings(now)
         for key in flows:
             flow = self._state.flows.get(key)
             owner = self._locations.owner_of(key)
@@ -211,6 +190,16 @@
                 findings.unsure.append(key)
         return [ToPeer(host, findings)]
 
+    def tell_of_stop(self, now: float) -> list[PassthroughEffect]:
+        """Tell the agents that lately searched that this one ends."""
+        findings = self.prepare_findings(now)
+        findings.stopping = True
+        return [
+            ToPeer(host, findings)
+            for host, asked_at in self._inquirers.items()
+            if now - asked_at <= INQUIRER_SECONDS
+        ]
+
     def on_findings(
         self, host: str, findings: Findings, now: float
     ) -> list[PassthroughEffect]:
@@ -218,6 +207,8 @@
         self._state.board.record_report(host, None, now)
         self._end.record_findings(host, findings, now)
         effects: list[PassthroughEffect] = []
+        if findings.stopping:
+            effects += self._let_go(host, now)
         for key, owner in findings.held:
             effects += self._on_owner_named(host, key, owner, now)
         for keys, absent in ((findings.absent, True), (findings.unsure, False)):
@@ -227,6 +218,20 @@
                     effects += self._offer_next(inquiry, now)
         return effects
 
+    def _let_go(self, host: str, now: float) -> list[PassthroughEffect]:
+        """Go on with all searches without an agent that has departed."""
+        if not self._end.has_departed(host, now):
+            return []
+        effects: list[PassthroughEffect] = []
+        for inquiry in self._inquiries.pending():
+            inquiry.answered.add(host)
+            inquiry.unsure.discard(host)
+            inquiry.missing.add(host)
+            if inquiry.offered_to == host:
+                inquiry.offered_to = ""
+            effects += self._offer_next(inquiry, now)
+        return effects
+
     def pop_inquiries(self) -> list[PassthroughEffect]:
         """Remove and return the queued inquiries."""
         return [
@@ -309,7 +314,14 @@
         self, inquiry: PendingInquiry, now: float
     ) -> list[PassthroughEffect]:
         """Offer the packet to the next unsure agent, the most likely owner first."""
-        silent = self._find_silent(inquiry)
+        silent = [
+            host
+            for host in self._find_silent(inquiry)
+            if not (
+                self._state.board.is_suspect(host, now)
+                and self._end.has_departed(host, now)
+            )
+        ]
         if inquiry.offered_to or self._must_wait(inquiry, silent, now):
             return []
         unsure_hosts = self._rank_unsure(inquiry)
--- a/src/berylturn/connection/recovery/power_loss.py
+++ b/src/berylturn/connection/recovery/power_loss.py
@@ -45,6 +45,8 @@
         Whether its server has reported to it since.
     started_later : bool
         Whether its server started long after the agent, as after a crash.
+    stopping : bool
+        Whether the agent has been stopped since.
     heard_at : float
         When it said so.
     """
@@ -53,6 +55,7 @@
     started_together: bool | None
     has_reported: bool
     started_later: bool
+    stopping: bool
     heard_at: float
 
     @property
@@ -78,6 +81,11 @@
         for host in self._starts.keys() - hosts.keys():
             del self._starts[host]
 
+    def was_stopped(self, host: str) -> bool:
+        """Tell whether the last word of an agent is that it is stopped."""
+        start = self._starts.get(host)
+        return start is not None and start.stopping
+
     def lost_power(
         self, host: str, data_centres: Mapping[str, str], now: float
     ) -> bool:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -219,6 +219,25 @@
                 said = other.has_lost_power(owner, mesh.now)
                 self.assertEqual(dispensable, said, name)
 
+    @params(("lost power", True), ("alive, in a rolling restart", False))
+    def test_word_of_an_agent_that_is_stopped(self, _: str, lost: bool) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        if lost:
+            lose_power(mesh, set(AGENTS), {"c0"})
+        flow = flow_key(1)
+        mesh.backends["c0"].dead = True
+        mesh.start_agent("c0", reported=False)
+        mesh.send_request("front-a", flow, "a0")
+        mesh.advance(0.5)
+        before = len(mesh.events("flow_not_found"))
+        mesh.stop_agent("c0")
+        mesh.down = {"c0"}
+        for _try in range(2):
+            mesh.send_request("front-a", flow, "a0")
+            mesh.advance(0.4)
+        decisions = mesh.events("flow_not_found")[before:]
+        self.assertEqual(2 * lost, sum(fields["ended"] for fields in decisions))
+
     def test_search_goes_on_without_an_agent_that_leaves(self) -> None:
         mesh = Mesh(AGENTS, BALANCERS)
         owners = {flow_key(n): "" for n in range(20)}
