End searches whose packets the server got before it had started

Packets offered before such a server had started are returned by nobody, and its report made the agent stop waiting for it. Change: with the report that shows that the server started in sight of its agent, the agent answers for these packets itself.

--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -186,9 +186,12 @@
         """Record the owner of flows that have this agent first in their order."""
         self._locations.record_owner(host, flows, now)
 
-    def on_backend_report(self, report: BackendReport) -> None:
-        """Record that the backend server has reported."""
+    def on_backend_report(
+        self, report: BackendReport, now: float
+    ) -> list[PassthroughEffect]:
+        """Record that the backend server has reported, after the gate has."""
         self._state.signs.record_report(report)
+        return self._search.answer_offers(now)
 
     def has_lost_server(self, now: float) -> bool:
         """Tell whether the backend server beside this agent holds no open flow."""
--- a/src/berylturn/connection/recovery/flow_search.py
+++ b/src/berylturn/connection/recovery/flow_search.py
@@ -113,6 +113,20 @@
             return [ToPeer(frame.inquirer, findings)]
         return self._search(frame, segment, "", now)
 
+    def answer_offers(self, now: float) -> list[PassthroughEffect]:
+        """Continue the searches whose packets the server got before it had started.
+
+        Nobody returns these packets. A server that is known to have started since
+        holds no other flows than those in the table.
+        """
+        if not self._has_complete_table():
+            return []
+        effects: list[PassthroughEffect] = []
+        for frame, segment in self._offers.pop_unanswered(now):
+            if self._state.flows.get(segment.flow) is None:
+                effects += self.on_not_held(frame, segment, now)
+        return effects
+
     def _on_unanswered(
         self, frame: Forward, segment: Segment, now: float
     ) -> list[PassthroughEffect]:
@@ -240,11 +254,12 @@
 
     def _cannot_be_held(self, flow: bytes) -> bool:
         """Tell whether the own server certainly does not hold an unknown flow."""
+        return self._has_complete_table() or self._offers.was_returned(flow)
+
+    def _has_complete_table(self) -> bool:
+        """Tell whether the own server certainly holds no flow that is not known."""
         gate = self._state.gate
-        has_complete_table = (
-            gate.has_left or gate.saw_start or self._state.signs.has_ended
-        )
-        return has_complete_table or self._offers.was_returned(flow)
+        return gate.has_left or gate.saw_start or self._state.signs.has_ended
 
     def _offer_own_server(
         self, frame: Forward, segment: Segment, now: float
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -148,7 +148,6 @@
             )
             return False
         before = self._gate.report
-        self._agent.on_backend_report(report)
         self._set_limits(report.service)
         restarted = self._gate.record_report(
             report, node.now(), service_known=own.service is not None
@@ -158,6 +157,7 @@
             before is None or _has_state_changed(before, current)
         ):
             self._apply_backend_state(current, restarted)
+        self._send_effects(self._agent.on_backend_report(report, node.now()))
         if restarted:
             self._send_effects(self._agent.on_backend_restarted())
         self._send_effects(self._agent.admit_queued(node.now()))
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -224,7 +224,7 @@
         self.agents[name].set_slots(values["slots"])
         report = BackendReport(**values)
         restarted = self.gates[name].record_report(report, self.now, service_known)
-        self.agents[name].on_backend_report(report)
+        self._run_effects(name, self.agents[name].on_backend_report(report, self.now))
         if restarted:
             self._run_effects(name, self.agents[name].on_backend_restarted())
         return restarted
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -108,6 +108,21 @@
         mesh.advance(1.0)
         self.assertFalse(mesh.was_reset(flow))
 
+    @params(("leads the search", "a0"), ("is asked by another agent", "b1"))
+    def test_packet_offered_before_the_server_has_started(
+        self, _: str, late: str
+    ) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        lose_power(mesh, set(AGENTS), {late})
+        flows = [flow_key(number) for number in range(10)]
+        for flow in flows:
+            mesh.send_request("front-a", flow, "a0")
+        mesh.now += 0.1
+        mesh.backends[late].dead = False
+        mesh.report(late, started_ms=3, cold_seconds=1.9)
+        mesh.advance(0.1)
+        self.assertEqual([], [f for f in flows if not mesh.was_reset(f)])
+
     @params(
         ("request", ACK, b"GET", True),
         ("request that is the last", ACK | FIN, b"GET", True),
