--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -158,9 +158,15 @@
         self._state.flows.meter.set_slots(slots)
 
     def stop(self, now: float) -> list[PassthroughEffect]:
-        """Stop admitting openings and refuse the queued ones."""
+        """Stop admitting openings and refuse the queued ones.
+
+        Agents that search for flows are told if none can be held here.
+        """
         self._state.stopping = True
-        return self._openings.refuse_queued(now)
+        effects = self._openings.refuse_queued(now)
+        if self.has_lost_server(now):
+            effects += self._search.tell_of_stop(now)
+        return effects
 
     def admit_queued(self, now: float) -> list[PassthroughEffect]:
         """Admit queued openings while there is capacity, and refuse expired ones."""
@@ -225,9 +231,12 @@
         """Record the owner of flows that have this agent first in their order."""
         self._locations.record_owner(host, flows, now)
 
-    def on_backend_report(self, report: BackendReport) -> None:
-        """Record that the backend server has reported."""
+    def on_backend_report(
+        self, report: BackendReport, now: float
+    ) -> list[PassthroughEffect]:
+        """Record that the backend server has reported, after the gate has."""
         self._state.signs.record_report(report)
+        return self._search.answer_offers(now)
 
     def has_lost_server(self, now: float) -> bool:
         """Tell whether the backend server beside this agent holds no open flow."""
@@ -369,7 +378,8 @@
         owned = Owned(segment.flow, self._state.load_report(now))
         effects: list[PassthroughEffect] = [ToPeer(frame.origin, owned)]
         if frame.inquirer:
-            held = Findings([(segment.flow, self._state.host)], [], [])
+            held = self._search.prepare_findings(now)
+            held.held.append((segment.flow, self._state.host))
             effects.append(ToPeer(frame.inquirer, held))
         return effects
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -108,6 +108,21 @@
         mesh.advance(1.0)
         self.assertFalse(mesh.was_reset(flow))
 
+    @params(("leads the search", "a0"), ("is asked by another agent", "b1"))
+    def test_packet_offered_before_the_server_has_started(
+        self, _: str, late: str
+    ) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        lose_power(mesh, set(AGENTS), {late})
+        flows = [flow_key(number) for number in range(10)]
+        for flow in flows:
+            mesh.send_request("front-a", flow, "a0")
+        mesh.now += 0.1
+        mesh.backends[late].dead = False
+        mesh.report(late, started_ms=3, cold_seconds=1.9)
+        mesh.advance(0.1)
+        self.assertEqual([], [f for f in flows if not mesh.was_reset(f)])
+
     @params(
         ("request", ACK, b"GET", True),
         ("request that is the last", ACK | FIN, b"GET", True),
@@ -219,6 +234,25 @@
                 said = other.has_lost_power(owner, mesh.now)
                 self.assertEqual(dispensable, said, name)
 
+    @params(("lost power", True), ("alive, in a rolling restart", False))
+    def test_word_of_an_agent_that_is_stopped(self, _: str, lost: bool) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        if lost:
+            lose_power(mesh, set(AGENTS), {"c0"})
+        flow = flow_key(1)
+        mesh.backends["c0"].dead = True
+        mesh.start_agent("c0", reported=False)
+        mesh.send_request("front-a", flow, "a0")
+        mesh.advance(0.5)
+        before = len(mesh.events("flow_not_found"))
+        mesh.stop_agent("c0")
+        mesh.down = {"c0"}
+        for _try in range(2):
+            mesh.send_request("front-a", flow, "a0")
+            mesh.advance(0.4)
+        decisions = mesh.events("flow_not_found")[before:]
+        self.assertEqual(2 * lost, sum(fields["ended"] for fields in decisions))
+
     def test_search_goes_on_without_an_agent_that_leaves(self) -> None:
         mesh = Mesh(AGENTS, BALANCERS)
         owners = {flow_key(n): "" for n in range(20)}
