--- a/src/berylturn/connection/placement/outliers.py
+++ b/src/berylturn/connection/placement/outliers.py
@@ -242,7 +242,8 @@
 
     def _review_trial(self, evidence: Evidence, now: float) -> Change | None:
         counts = evidence.counts
-        if counts.failed + counts.hinted > counts.answered:
+        # A single hint does not end a trial.
+        if counts.failed + (counts.hinted - 1) / 2 > counts.answered:
             if not self._has_room(evidence):
                 return self._readmit("share", evidence, now)
             return self._eject("trial_failed", evidence, now)
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -267,6 +267,27 @@
         judge.review(evidence, 8.3)
         self.assertEqual(ejected, judge.standing is Standing.EJECTED)
 
+    @params(
+        ("nothing yet", [], Standing.ON_TRIAL),
+        ("a failure", [Outcome.RESET], Standing.EJECTED),
+        ("a hint", [Outcome.HASTY], Standing.ON_TRIAL),
+        ("two hints", [Outcome.HASTY] * 2, Standing.EJECTED),
+        ("two answers", [Outcome.ANSWERED] * 2, Standing.ON_TRIAL),
+        ("three answers", [Outcome.ANSWERED] * 3, Standing.IN_USE),
+    )
+    def test_trial(self, _: str, outcomes: list[Outcome], standing: Standing) -> None:
+        counts, judge = OutcomeCounts(), OutlierJudge(EJECT)
+        evidence = Evidence("a", counts, 0.03, 8, [self.SOUND] * 7)
+        for _number in range(5):
+            counts.record(Outcome.RESET, 8.0)
+        judge.review(evidence, 8.3)
+        judge.review(evidence, 11.0)
+        counts.forget()
+        for outcome in outcomes:
+            counts.record(outcome, 11.1)
+        judge.review(evidence, 11.2)
+        self.assertIs(standing, judge.standing)
+
     def test_time_grows(self) -> None:
         judge, now, seconds = OutlierJudge(EJECT), 8.0, []
         for _number in range(6):
