--- a/src/berylturn/connection/flow_table.py
+++ b/src/berylturn/connection/flow_table.py
@@ -27,6 +27,8 @@
 FIRST_REQUEST_TIMEOUT_SECONDS = 0.15
 # The same as a multiple of the mean time to the first request, once it is known.
 GAP_TIMEOUT_FACTOR = 4.0
+# Time since the last packet of a flow up to which a reset breaks off what is going on.
+ABORT_SECONDS = 1.0
 # Weight of the newest report period in the moving average of running requests.
 BUSY_SMOOTHING = 0.5
 
@@ -216,6 +218,7 @@
         self, segment: Segment, flow: PassthroughFlow, now: float
     ) -> None:
         """Update a flow with a packet of the backend server."""
+        idle_seconds = now - flow.last_active_at
         flow.last_active_at = now
         if segment.accepting:
             if flow.state is FlowState.HALF_OPEN:
@@ -227,7 +230,7 @@
             if flow.busy_since is not None:
                 self._record_answer(segment, flow, now)
         elif segment.closing or segment.reset:
-            self._record_ending(segment, flow, now)
+            self._record_ending(segment, flow, idle_seconds, now)
         if segment.closing:
             flow.backend_closed = True
         if segment.reset or (flow.caller_closed and flow.backend_closed):
@@ -328,22 +331,22 @@
             self.meter.record_completion()
 
     def _record_ending(
-        self, segment: Segment, flow: PassthroughFlow, now: float
+        self, segment: Segment, flow: PassthroughFlow, idle_seconds: float, now: float
     ) -> None:
-        """Count a flow that the server ends before the answer to a request."""
-        if self.outcomes is None or flow.caller_closed or flow.overdue:
+        """Count a flow that the server ends before an answer, or within one.
+
+        A reset within an answer shows only by the time since the last packet.
+        """
+        is_ended = flow.caller_closed or flow.backend_closed
+        if self.outcomes is None or is_ended or flow.overdue:
             return
-        if flow.expects_data(segment):
+        if flow.state is FlowState.CLOSED:
             return
-        is_unused = (
-            segment.reset
-            and flow.state is not FlowState.CLOSED
-            and flow.admitted_at is not None
-            and not flow.requests
-        )
-        if flow.busy_since is not None or is_unused:
-            ending = Outcome.RESET if segment.reset else Outcome.CLOSED
-            self.outcomes.record(ending, now)
+        if segment.reset:
+            if flow.busy_since is not None or idle_seconds < ABORT_SECONDS:
+                self.outcomes.record(Outcome.RESET, now)
+        elif flow.busy_since is not None and not flow.expects_data(segment):
+            self.outcomes.record(Outcome.CLOSED, now)
 
     def _record_overdue(self, flow: PassthroughFlow, now: float) -> None:
         if self.outcomes is not None and not flow.overdue and not flow.caller_closed:
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -184,6 +184,8 @@
     @params(
         ("reset", True, ("server", RST, 0)),
         ("end without an answer", True, ("server", ACK | FIN, 0)),
+        ("reset within the answer", True, ("answer", ACK, 0), ("server", RST, 3)),
+        ("reset after the end", False, ("server", FIN, 3), ("server", RST, 4)),
         ("answer", False, ("answer", ACK, 0)),
         ("end after the answer", False, ("answer", ACK, 0), ("server", FIN, 3)),
         ("end overtakes the answer", False, ("server", FIN, 3), ("answer", ACK, 0)),
