--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -184,6 +184,8 @@
     @params(
         ("reset", True, ("server", RST, 0)),
         ("end without an answer", True, ("server", ACK | FIN, 0)),
+        ("reset within the answer", True, ("answer", ACK, 0), ("server", RST, 3)),
+        ("reset after the end", False, ("server", FIN, 3), ("server", RST, 4)),
         ("answer", False, ("answer", ACK, 0)),
         ("end after the answer", False, ("answer", ACK, 0), ("server", FIN, 3)),
         ("end overtakes the answer", False, ("server", FIN, 3), ("answer", ACK, 0)),
@@ -267,6 +269,27 @@
         judge.review(evidence, 8.3)
         self.assertEqual(ejected, judge.standing is Standing.EJECTED)
 
+    @params(
+        ("nothing yet", [], Standing.ON_TRIAL),
+        ("a failure", [Outcome.RESET], Standing.EJECTED),
+        ("a hint", [Outcome.HASTY], Standing.ON_TRIAL),
+        ("two hints", [Outcome.HASTY] * 2, Standing.EJECTED),
+        ("two answers", [Outcome.ANSWERED] * 2, Standing.ON_TRIAL),
+        ("three answers", [Outcome.ANSWERED] * 3, Standing.IN_USE),
+    )
+    def test_trial(self, _: str, outcomes: list[Outcome], standing: Standing) -> None:
+        counts, judge = OutcomeCounts(), OutlierJudge(EJECT)
+        evidence = Evidence("a", counts, 0.03, 8, [self.SOUND] * 7)
+        for _number in range(5):
+            counts.record(Outcome.RESET, 8.0)
+        judge.review(evidence, 8.3)
+        judge.review(evidence, 11.0)
+        counts.forget()
+        for outcome in outcomes:
+            counts.record(outcome, 11.1)
+        judge.review(evidence, 11.2)
+        self.assertIs(standing, judge.standing)
+
     def test_time_grows(self) -> None:
         judge, now, seconds = OutlierJudge(EJECT), 8.0, []
         for _number in range(6):
