--- a/src/berylturn/connection/admission/passthrough_openings.py
+++ b/src/berylturn/connection/admission/passthrough_openings.py
@@ -5,7 +5,8 @@
 from ...version.owners import AgentEntry, rank_agents
 from ..passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
 from ..passthrough_state import PassthroughState
-from ..peer_frames import Forward, Owned, next_forward
+from ..peer_frames import Forward, next_forward
+from ..placement.flow_habits import Habit
 from ..placement.load_board import choose_for_opening, choose_soonest
 from ..placement.work_meter import WorkMeter
 from ..recovery.offers import Offers
@@ -59,6 +60,7 @@
         """Handle an opening of a flow that is not in the flow table."""
         if segment.flow in self._queue:
             return []
+        self._state.learn_habit(frame, segment.flow)
         service = self._state.service_of(frame, segment)
         if service is None:
             return self._refuse(frame, segment, "no_route", now)
@@ -178,7 +180,7 @@
         )
         return [
             ToBackend(tagged),
-            ToPeer(frame.origin, Owned(segment.flow, self._state.load_report(now))),
+            ToPeer(frame.origin, self._state.announce(segment.flow, now)),
         ]
 
     def _forward_to_sibling(
@@ -202,7 +204,8 @@
                 chosen = self._choose_sibling(frame, segment, service, True, now)
         if chosen is None:
             return self._refuse(frame, segment, reason, now)
-        self._state.board.record_opening(chosen.host)
+        is_feed = self._state.learn_habit(frame, segment.flow) is Habit.LONG
+        self._state.board.record_opening(chosen.host, is_feed)
         self._state.board.expect_answer(chosen.host, now)
         visited = [*frame.visited, self._state.host]
         self._state.log_decision(
@@ -230,8 +233,9 @@
             return None
         ranked = self._rank_agents(frame, segment, service)
         board = self._state.board
+        habit = self._state.learn_habit(frame, segment.flow)
         return choose_for_opening(
-            ranked, frame.data_centre, board, visited, now, allow_remote_cold
+            ranked, frame.data_centre, board, visited, now, allow_remote_cold, habit
         )
 
     def _choose_sooner_sibling(
@@ -289,7 +293,7 @@
             ahead=ahead,
         )
         effects: list[PassthroughEffect] = [
-            ToPeer(frame.origin, Owned(segment.flow, self._state.load_report(now)))
+            ToPeer(frame.origin, self._state.announce(segment.flow, now))
         ]
         self._queue.add(opening)
         for excess in self._queue.pop_excess(self._queue_limit(reason), now):
--- a/src/berylturn/connection/flow_table.py
+++ b/src/berylturn/connection/flow_table.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from .placement.flow_watch import FlowWatch
 from .placement.work_meter import WorkMeter
 from .segments import Segment
 
@@ -56,6 +57,8 @@
         Time of admission; None if it was opened before this process started.
     requests : int
         Number of requests so far.
+    is_feed : bool
+        Whether it counts as a flow of many requests.
     """
 
     state: FlowState
@@ -68,6 +71,7 @@
     busy_since: float | None = None
     admitted_at: float | None = None
     requests: int = 0
+    is_feed: bool = False
 
     def owns(self, segment: Segment) -> bool:
         """Tell whether a caller's packet, not an opening, belongs to this flow.
@@ -92,6 +96,8 @@
         Called for each flow that is removed.
     observe : callable
         Called with each response time in seconds.
+    watch : FlowWatch, optional
+        Learns the habits of the flows; only for mixed placement.
 
     Attributes
     ----------
@@ -100,8 +106,12 @@
     """
 
     def __init__(
-        self, on_drop: Callable[[], None], observe: Callable[[float], None]
+        self,
+        on_drop: Callable[[], None],
+        observe: Callable[[float], None],
+        watch: FlowWatch | None = None,
     ) -> None:
+        self._watch = watch
         self._on_drop = on_drop
         self._observe = observe
         self.meter = WorkMeter()
@@ -136,9 +146,11 @@
         """Add a flow that is being opened, and drop a closed one with the same key."""
         if segment.flow in self._flows:
             self.drop(segment.flow)
-        self._flows[segment.flow] = PassthroughFlow(
+        self._flows[segment.flow] = flow = PassthroughFlow(
             FlowState.HALF_OPEN, now, last_packet=segment.data, admitted_at=now
         )
+        if self._watch is not None:
+            self._watch.on_admitted(segment.flow, flow, now)
         self._awaiting_request[segment.flow] = now
 
     def count_awaiting_request(self, now: float) -> int:
@@ -177,6 +189,8 @@
             flow.requests += 1
             if flow.requests == 1 and flow.admitted_at is not None:
                 self.meter.record_first_request(now - flow.admitted_at)
+            if self._watch is not None:
+                self._watch.on_request(segment.flow, flow, now)
             self._awaiting_request.pop(segment.flow, None)
             self._change_running(1, now)
         if segment.closing:
@@ -210,6 +224,8 @@
         flow = self._flows.pop(key)
         self._awaiting_request.pop(key, None)
         self._end_request(flow, self._running_changed_at)
+        if self._watch is not None:
+            self._watch.on_gone(flow, self._running_changed_at)
         self._on_drop()
 
     def sweep(self, now: float, idle_seconds: float) -> None:
@@ -254,6 +270,8 @@
         self._end_request(flow, now)
         if flow.admitted_at is not None and flow.state is not FlowState.CLOSED:
             self.meter.record_ended_flow(flow.requests)
+        if self._watch is not None and flow.state is not FlowState.CLOSED:
+            self._watch.on_closed(key, flow, now)
         flow.state = FlowState.CLOSED
 
     def _end_request(self, flow: PassthroughFlow, now: float) -> None:
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -25,6 +25,7 @@
 )
 from .passthrough_state import PassthroughState
 from .peer_frames import Findings, Forward, Load, LoadReport, Owned, Registered
+from .placement.flow_watch import FlowWatch
 from .placement.load_board import LoadBoard
 from .recovery.flow_locations import FlowLocations
 from .recovery.flow_search import FlowSearch
@@ -55,6 +56,8 @@
     directory_trust : callable
         Returns how complete the directory of agents is at a time on the monotonic
         clock.
+    mixed_placement : bool
+        Whether long flows and flows of one request on the same servers are told apart.
     """
 
     def __init__(
@@ -66,10 +69,12 @@
         log_decision: LogDecision,
         observe: Callable[[float], None],
         directory_trust: Callable[[float], DirectoryTrust],
+        mixed_placement: bool = False,
     ) -> None:
-        flows = FlowTable(gate.end_flow, observe)
+        watch = FlowWatch() if mixed_placement else None
+        flows = FlowTable(gate.end_flow, observe, watch)
         self._state = PassthroughState(
-            host, gate, board, flows, codec, log_decision, directory_trust
+            host, gate, board, flows, codec, log_decision, directory_trust, watch=watch
         )
         self._locations = FlowLocations(host)
         self._offers = Offers()
@@ -125,6 +130,8 @@
     def set_table(self, table: RouteTable) -> None:
         """Replace the route table by a newer version."""
         self._state.table = table
+        if self._state.watch is not None:
+            self._state.watch.habits.keep_only(table)
         self._register_all()
 
     def set_agents(
@@ -253,7 +260,7 @@
             self._register(segment.flow, flow, force=bool(frame.visited))
         effects: list[PassthroughEffect] = [ToBackend(segment.data)]
         if frame.wants_owner:
-            owned = Owned(segment.flow, self._state.load_report(now))
+            owned = self._state.announce(segment.flow, now)
             effects.append(ToPeer(frame.origin, owned))
         return effects
 
@@ -271,7 +278,7 @@
             self._register(segment.flow, flow)
         if frame is None:
             return []
-        owned = Owned(segment.flow, self._state.load_report(now))
+        owned = self._state.announce(segment.flow, now)
         effects: list[PassthroughEffect] = [ToPeer(frame.origin, owned)]
         if frame.inquirer:
             held = Findings([(segment.flow, self._state.host)], [], [])
--- a/src/berylturn/connection/passthrough_router.py
+++ b/src/berylturn/connection/passthrough_router.py
@@ -14,6 +14,7 @@
 from ..version.routes import RouteTable
 from .passthrough_effects import LogDecision, PassthroughEffect, ToPeer, reset_caller
 from .peer_frames import Forward, Load, Owned
+from .placement.flow_habits import Habit, HabitBook
 from .placement.load_board import LoadBoard, choose_for_opening
 from .segments import Segment, SegmentCodec
 
@@ -51,6 +52,8 @@
         Decodes and builds packets.
     log_decision : callable
         Logs a decision: event name, flow key, and the inputs as keywords.
+    mixed_placement : bool
+        Whether long flows and flows of one request on the same servers are told apart.
     """
 
     def __init__(
@@ -60,7 +63,9 @@
         board: LoadBoard,
         codec: SegmentCodec,
         log_decision: LogDecision,
+        mixed_placement: bool = False,
     ) -> None:
+        self._habits = HabitBook() if mixed_placement else None
         self._host = host
         self._data_centre = data_centre
         self._board = board
@@ -94,6 +99,8 @@
     def set_table(self, table: RouteTable) -> None:
         """Replace the route table by a newer version."""
         self._table = table
+        if self._habits is not None:
+            self._habits.keep_only(table)
 
     def set_directory(self, directory: Directory, evacuated: frozenset[str]) -> None:
         """Set the directory of agents, and the evacuated data centres."""
@@ -164,6 +171,8 @@
         """Handle a frame from an agent."""
         self._board.record_report(host, frame.load, now)
         if type(frame) is Owned:
+            if self._habits is not None:
+                self._habits.adopt(frame.flow, frame.habit)
             self._hints.pop(frame.flow, None)
             self._hints[frame.flow] = _Hint(host, now)
             if len(self._hints) > MAX_HINTS:
@@ -204,6 +213,7 @@
             and self._board.is_cold(agent.host, now)
             for agent in ranked
         )
+        habit = self._habit_of(segment.flow)
         chosen = choose_for_opening(
             ranked,
             self._data_centre,
@@ -211,13 +221,14 @@
             (),
             now,
             allow_remote_cold=not local_is_cold,
+            habit=habit,
         )
         if chosen is None and ranked:
             # The load reports may be stale; the agent itself decides.
             chosen = ranked[0]
         if chosen is None:
             return self._refuse(segment, "no_backend_server", table, now)
-        self._board.record_opening(chosen.host)
+        self._board.record_opening(chosen.host, habit is Habit.LONG)
         self._log_decision(
             "flow_placed",
             segment.flow,
@@ -227,9 +238,27 @@
             version=table.version,
             pressure=self._board.pressure(chosen.host, now),
             report_age=self._board.report_age(chosen.host, now),
+            **self._describe_choice(chosen.host, habit, now),
         )
         return [self._forward(segment, chosen.host, table, service, True, now)]
 
+    def _describe_choice(
+        self, host: str, habit: Habit, now: float
+    ) -> dict[str, object]:
+        """Return what mixed placement has decided by, for the log."""
+        report = self._board.fresh_report(host, now)
+        if habit is Habit.UNKNOWN or report is None:
+            return {}
+        return {
+            "habit": habit.name.lower(),
+            "mixed": report.mixed,
+            "service_ms": round(report.service_ms, 1),
+            "pledged": round(report.pledged, 3),
+        }
+
+    def _habit_of(self, flow: bytes) -> Habit:
+        return Habit.UNKNOWN if self._habits is None else self._habits.habit_of(flow)
+
     def _refuse(
         self, segment: Segment, reason: str, table: RouteTable, now: float
     ) -> list[PassthroughEffect]:
@@ -258,5 +287,6 @@
             [],
             wants_owner,
             segment.data,
+            habit=int(self._habit_of(segment.flow)) if segment.opening else 0,
         )
         return ToPeer(host, frame)
--- a/src/berylturn/connection/passthrough_state.py
+++ b/src/berylturn/connection/passthrough_state.py
@@ -12,8 +12,11 @@
 from .admission.opening_queue import OpeningQueue
 from .flow_table import FlowTable
 from .passthrough_effects import LogDecision
-from .peer_frames import Forward, LoadReport
+from .peer_frames import MAX_FEED_LOAD, Forward, LoadReport, Owned
+from .placement.flow_habits import Habit
+from .placement.flow_watch import FlowWatch
 from .placement.load_board import LoadBoard
+from .placement.work_meter import DEFAULT_SERVICE_SECONDS
 from .segments import Segment, SegmentCodec
 
 
@@ -47,6 +50,8 @@
         Newest known revision of each kind of object.
     stopping : bool
         Whether the agent is shutting down.
+    watch : FlowWatch or None
+        What the flows show of their habits; None for plain placement.
     queue : OpeningQueue
         Openings that wait for capacity at the backend server.
     """
@@ -63,6 +68,7 @@
     evacuated: frozenset[str] = frozenset()
     newest: list[int] = field(default_factory=list)
     stopping: bool = False
+    watch: FlowWatch | None = None
     queue: OpeningQueue = field(default_factory=OpeningQueue)
 
     def service_of(self, frame: Forward, segment: Segment) -> str | None:
@@ -79,10 +85,39 @@
         """Return the number of requests in progress, and expected on new flows."""
         return self.flows.running + self.flows.count_awaiting_request(now)
 
+    def is_mixed(self, now: float) -> bool:
+        """Tell whether this server or a sibling gets feeds beside single requests."""
+        if self.watch is None:
+            return False
+        return self.watch.mix.is_mixed or self.board.has_mixed_flows(now)
+
+    def learn_habit(self, frame: Forward, flow: bytes) -> Habit:
+        """Return a flow's habit, with what the sender of its opening knows."""
+        if self.watch is None:
+            return Habit.UNKNOWN
+        self.watch.habits.adopt(flow, frame.habit)
+        return self.watch.habits.habit_of(flow)
+
+    def announce(self, flow: bytes, now: float) -> Owned:
+        """Return the frame that tells a balancer who owns a flow."""
+        habit = Habit.UNKNOWN
+        if self.watch is not None:
+            habit = self.watch.habits.habit_of(flow)
+        return Owned(flow, self.load_report(now), int(habit))
+
     def load_report(self, now: float) -> LoadReport:
         """Return the load report for siblings and balancers."""
         report = self.gate.report
         service = report.service if report is not None else ""
+        meter, pledged, feed_load, mixed = self.flows.meter, 0.0, 0, False
+        service_seconds = meter.service_seconds or 0.0
+        if self.watch is not None:
+            mixed, pledges = self.watch.mix.is_mixed, self.watch.pledges
+            if self.is_mixed(now):
+                service_seconds = meter.steady_seconds or 0.0
+            work = meter.steady_seconds or DEFAULT_SERVICE_SECONDS
+            pledged = pledges.open_feeds * pledges.rate * work
+            feed_load = min(MAX_FEED_LOAD, int(1e6 * pledges.rate * work))
         return LoadReport(
             accepting=self.gate.refusal(service, now) is None,
             busy=self.flows.busy,
@@ -94,6 +129,9 @@
             cold=self.gate.is_cold(now),
             backend_left=self.gate.has_left,
             outstanding=self.outstanding(now),
-            service_ms=1000 * (self.flows.meter.service_seconds or 0.0),
-            short_flows=self.flows.meter.has_short_flows,
+            service_ms=1000 * service_seconds,
+            short_flows=meter.has_short_flows,
+            pledged=pledged,
+            feed_load=feed_load,
+            mixed=mixed,
         )
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -17,6 +17,10 @@
 
 # Upper bound of the requests and slots of one server that a report may state.
 MAX_REQUESTS = 1_000_000
+# Upper bound of the load of one flow that a report may state: 1,000 slots.
+MAX_FEED_LOAD = 1_000_000_000
+# Largest value of a habit (`placement.flow_habits`).
+MAX_HABIT = 2
 
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
@@ -56,6 +60,10 @@
         Milliseconds that an opening queued now is expected to wait for its admission.
     pledged : float
         Mean number of slots that the requests of the open flows occupy.
+    feed_load : int
+        Millionths of a slot that the requests of one more long flow will occupy.
+    mixed : bool
+        Whether the server gets long flows beside flows of one request, and both count.
     """
 
     accepting: bool
@@ -73,6 +81,8 @@
     ejected_ms: Annotated[float, Meta(ge=0)] = 0.0
     wait_ms: Annotated[float, Meta(ge=0)] = 0.0
     pledged: Annotated[float, Meta(ge=0, le=MAX_REQUESTS)] = 0.0
+    feed_load: Annotated[int, Meta(ge=0, le=MAX_FEED_LOAD)] = 0
+    mixed: bool = False
 
 
 class Forward(msgspec.Struct, array_like=True, tag=1):
@@ -97,6 +107,8 @@
     inquirer : str
         IP address of the agent that searches for the flow, to be answered if the
         receiver does not hold it; empty if the receiver is to search itself.
+    habit : int
+        Whether the flow will have one request (1) or many (2), if the balancer knows.
     """
 
     origin: str
@@ -107,13 +119,25 @@
     wants_owner: bool
     data: bytes
     inquirer: str = ""
+    habit: Annotated[int, Meta(ge=0, le=MAX_HABIT)] = 0
 
 
 class Owned(msgspec.Struct, array_like=True, tag=2):
-    """Tell a balancer that the sender owns a flow."""
+    """Tell a balancer that the sender owns a flow.
+
+    Attributes
+    ----------
+    flow : bytes
+        Key of the flow.
+    load : LoadReport
+        Load of the sender's server.
+    habit : int
+        Whether flows of its route have one request (1) or many (2), if known.
+    """
 
     flow: bytes
     load: LoadReport
+    habit: Annotated[int, Meta(ge=0, le=MAX_HABIT)] = 0
 
 
 class Registered(msgspec.Struct, array_like=True, tag=3):
@@ -255,4 +279,5 @@
         True,
         frame.data,
         inquirer,
+        frame.habit,
     )
--- a/src/berylturn/connection/placement/load_board.py
+++ b/src/berylturn/connection/placement/load_board.py
@@ -22,6 +22,8 @@
 
 from ...version.owners import AgentEntry
 from ..peer_frames import LoadReport
+from .flow_habits import Habit
+from .mixed_choice import REMOTE_SECONDS, choose_mixed, is_mixed
 from .work_meter import DEFAULT_SERVICE_SECONDS
 
 # Reports arrive twice a second; a report expires when four successors are missing.
@@ -33,16 +35,13 @@
 # Estimated share of a slot that a new flow uses, until the next report includes it.
 BUSY_PER_OPENING = 0.15
 
-# Time by which a server in another data centre must be sooner to be chosen: the way
-# there and back, and its cost.
-REMOTE_SECONDS = 0.01
-
 
 @dataclass(slots=True)
 class _Peer:
     report: LoadReport | None = None
     reported_at: float = 0.0
     openings_since_report: int = 0
+    feeds_since_report: int = 0
     awaiting_answer_since: float | None = None
 
 
@@ -59,7 +58,7 @@
         if report is not None:
             peer.report = report
             peer.reported_at = now
-            peer.openings_since_report = 0
+            peer.openings_since_report = peer.feeds_since_report = 0
 
     def expect_answer(self, host: str, now: float) -> None:
         """Record that an agent was sent a frame that it answers at once."""
@@ -67,9 +66,21 @@
         if peer.awaiting_answer_since is None:
             peer.awaiting_answer_since = now
 
-    def record_opening(self, host: str) -> None:
+    def record_opening(self, host: str, is_feed: bool = False) -> None:
         """Record that an opening was sent to an agent."""
-        self._peers.setdefault(host, _Peer()).openings_since_report += 1
+        peer = self._peers.setdefault(host, _Peer())
+        peer.openings_since_report += 1
+        peer.feeds_since_report += is_feed
+
+    def pending_openings(self, host: str) -> int:
+        """Return the openings sent to an agent since its last report."""
+        peer = self._peers.get(host)
+        return peer.openings_since_report if peer is not None else 0
+
+    def pending_feeds(self, host: str) -> int:
+        """Return the openings of long flows sent to an agent since its last report."""
+        peer = self._peers.get(host)
+        return peer.feeds_since_report if peer is not None else 0
 
     def keep_only(self, hosts: Collection[str]) -> None:
         """Remove agents that are no longer in the directory."""
@@ -149,6 +160,13 @@
         report = self.fresh_report(host, now)
         return report is not None and report.short_flows
 
+    def has_mixed_flows(self, now: float) -> bool:
+        """Tell whether an agent reports long flows beside flows of one request."""
+        return any(
+            report is not None and report.mixed
+            for report in (self.fresh_report(host, now) for host in self._peers)
+        )
+
     def completion_seconds(self, host: str, now: float) -> float:
         """Return the estimated seconds until a new request would be processed.
 
@@ -176,6 +194,7 @@
     excluded: Collection[str],
     now: float,
     allow_remote_cold: bool = True,
+    habit: Habit = Habit.UNKNOWN,
 ) -> AgentEntry | None:
     """Return the agent that an opening is sent to, or None if none accepts it.
 
@@ -193,6 +212,8 @@
         Seconds on the monotonic clock.
     allow_remote_cold : bool
         Whether a server in cold start in another data centre may be chosen.
+    habit : Habit
+        Whether the flow will have one request or many; unknown for plain placement.
     """
     candidates = [
         agent
@@ -207,6 +228,8 @@
     ]
     if not candidates:
         return None
+    if habit is not Habit.UNKNOWN and is_mixed(candidates, board, now):
+        return choose_mixed(candidates, habit, data_centre, board, now)
     if any(board.has_short_flows(agent.host, now) for agent in candidates):
         return choose_soonest(candidates, data_centre, board, now) or candidates[0]
     pressures = {agent.host: board.pressure(agent.host, now) for agent in candidates}
--- a/src/berylturn/connection/placement/work_meter.py
+++ b/src/berylturn/connection/placement/work_meter.py
@@ -25,6 +25,10 @@
 # which the server's flows count as short.
 FLOW_SMOOTHING = 0.1
 SHORT_FLOW_SHARE = 0.6
+# Samples over which the steady mean of the service time is taken, and the factor by
+# which the newer mean must differ to replace it at once.
+STEADY_SAMPLES = 40
+STEADY_CHANGE_FACTOR = 2.0
 # Bounds of the limit per slot, against a mean that a stalled server has distorted.
 MAX_REQUESTS_PER_SLOT = 4
 MAX_SERVICE_SECONDS = 5.0
@@ -45,6 +49,8 @@
         self._busy_slot_seconds = 0.0
         self._completed = 0
         self._service_seconds: float | None = None
+        self._steady_seconds: float | None = None
+        self._samples = 0
         self._gap_seconds = 0.0
         self._ended_flows = 0
         self._single_share = 0.0
@@ -54,6 +60,11 @@
         """Return the mean seconds that a request occupies a slot, None if unknown."""
         return self._service_seconds
 
+    @property
+    def steady_seconds(self) -> float | None:
+        """Return the mean service time over many requests, None if unknown."""
+        return self._steady_seconds
+
     @property
     def expected_service_seconds(self) -> float:
         """Return the mean service time, or an assumption until it is known."""
@@ -109,6 +120,7 @@
         sample = min(MAX_SERVICE_SECONDS, self._busy_slot_seconds / self._completed)
         self._completed, self._busy_slot_seconds = 0, 0.0
         self._service_seconds = _smooth(self._service_seconds, sample)
+        self._record_steady(sample, self._service_seconds)
 
     def record_first_request(self, gap_seconds: float) -> None:
         """Record the time from a flow's admission to its first request."""
@@ -121,6 +133,16 @@
         self._single_share += weight * (single - self._single_share)
         self._ended_flows += 1
 
+    def _record_steady(self, sample: float, recent: float) -> None:
+        mean, self._samples = self._steady_seconds, self._samples + 1
+        if mean is None or not STEADY_CHANGE_FACTOR > recent / (mean or 1) > (
+            1 / STEADY_CHANGE_FACTOR
+        ):
+            self._steady_seconds, self._samples = recent, 1
+            return
+        weight = max(1 / STEADY_SAMPLES, 1 / self._samples)
+        self._steady_seconds = mean + weight * (sample - mean)
+
 
 def _smooth(mean: float | None, sample: float) -> float:
     return sample if mean is None else mean + SMOOTHING * (sample - mean)
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -82,6 +82,7 @@
             node.log_decision,
             lambda seconds: node.metrics.time("response", seconds),
             node.sync.directory_trust,
+            node.settings.placement.policy == "mixed",
         )
         self._directory = AgentDirectory(self._board.has_left)
         self._entry_writer = EntryWriter(node.settings.node.name, node.view, node.store)
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -54,6 +54,7 @@
             self._board,
             node.codec,
             node.log_decision,
+            node.settings.placement.policy == "mixed",
         )
         self._directory = AgentDirectory(self._board.has_left)
         self._stopping = False
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -121,6 +121,9 @@
         Data centre of each balancer, by name.
     """
 
+    # Whether the nodes place by `policy = mixed`.
+    mixed_placement = False
+
     def __init__(
         self, agents: dict[str, tuple[str, str]], balancers: dict[str, str]
     ) -> None:
@@ -167,6 +170,7 @@
             self._log_decision,
             lambda seconds: None,
             lambda now: DirectoryTrust(name not in self.uncertain, self.known_seconds),
+            self.mixed_placement,
         )
         self.agents[name] = rules
         rules.set_table(self.table)
@@ -180,7 +184,12 @@
     ) -> None:
         """Start a balancer without hints."""
         self.routers[name] = PassthroughRouter(
-            name, data_centre, LoadBoard(), packets, self._log_decision
+            name,
+            data_centre,
+            LoadBoard(),
+            packets,
+            self._log_decision,
+            self.mixed_placement,
         )
         if configured:
             self.configure_balancer(name)
