--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -96,6 +96,12 @@
         """Tell whether most flows of the backend server have a single request."""
         return self._state.flows.meter.has_short_flows
 
+    @property
+    def open_feeds(self) -> int | None:
+        """Return the number of open feeds, or None for plain placement."""
+        watch = self._state.watch
+        return watch.pledges.open_feeds if watch is not None else None
+
     @property
     def queued(self) -> int:
         """Return the number of queued openings."""
@@ -258,6 +264,10 @@
         self._state.flows.record_caller_packet(segment, flow, now)
         if not segment.opening and (not flow.registered_with or frame.visited):
             self._register(segment.flow, flow, force=bool(frame.visited))
+        if segment.opening:
+            self._state.log_decision(
+                "opening_repeated", segment.flow, hops=len(frame.visited)
+            )
         effects: list[PassthroughEffect] = [ToBackend(segment.data)]
         if frame.wants_owner:
             owned = self._state.announce(segment.flow, now)
--- a/src/berylturn/connection/placement/mixed_choice.py
+++ b/src/berylturn/connection/placement/mixed_choice.py
@@ -32,13 +32,12 @@
 # Servers of one data centre that are compared for a feed and for a single request.
 FEED_CHOICES = 4
 SINGLE_CHOICES = 4
-# Share of a server that feeds occupy from which servers elsewhere are compared, and by
-# which one of them must be less occupied. A feed sends between data centres for long.
-FULL_SHARE = 0.6
-REMOTE_SHARE = 0.15
-# Peak of demand as a multiple of its mean.
-PEAK_FACTOR = 1.5
+# Multiple of the mean demand for which feeds are placed.
+PEAK_FACTOR = 1.2
+# Step of the share from which the growth of the wait is reckoned.
 SHARE_STEP = 0.01
+# Time by which a server in another data centre must be better for a feed, which sends
+# between the two for as long as it lasts.
 REMOTE_FEED_SECONDS = 0.05
 # Bound of the share for which a wait is reckoned.
 MAX_SHARE = 0.95
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -408,6 +408,11 @@
             node.metrics.gauge("flows", len(self._agent.flows))
             node.metrics.gauge("registered", self._agent.registered)
             node.metrics.gauge("running", self._agent.running)
+            if self._agent.open_feeds is not None:
+                load = self._agent.load_report(now)
+                node.metrics.gauge("feeds", self._agent.open_feeds)
+                node.metrics.gauge("pledged_slots", load.pledged)
+                node.metrics.gauge("mixed_flows", float(load.mixed))
 
     async def _run_sweeps(self) -> None:
         while True:
