--- a/src/berylturn/connection/placement/flow_habits.py
+++ b/src/berylturn/connection/placement/flow_habits.py
@@ -21,7 +21,7 @@
 # A server's flows are mixed if each habit brings at least this share of its requests,
 # and at least this many of them have been seen.
 MIN_SHARE = 0.1
-MIN_REQUESTS = 2
+MIN_REQUESTS = 5
 
 
 class Habit(IntEnum):
