--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -26,6 +26,7 @@
 )
 from .passthrough_state import PassthroughState
 from .peer_frames import Findings, Forward, Load, LoadReport, Owned, Registered
+from .placement.flow_watch import FlowWatch
 from .placement.load_board import LoadBoard
 from .placement.outlier_watch import OutlierWatch
 from .placement.outliers import UNJUDGED, OutlierRules, Standing
@@ -66,6 +67,8 @@
         Whether and how the backend server is judged by what it does with its flows.
     shares : CallerShares or None
         Shares of callers while openings wait; None if callers are not told apart.
+    mixed_placement : bool
+        Whether long flows and flows of one request on the same servers are told apart.
     """
 
     def __init__(
@@ -80,8 +83,10 @@
         process: ProcessStart,
         outlier_rules: OutlierRules = UNJUDGED,
         shares: CallerShares | None = None,
+        mixed_placement: bool = False,
     ) -> None:
-        flows = FlowTable(gate.end_flow, observe)
+        watch = FlowWatch() if mixed_placement else None
+        flows = FlowTable(gate.end_flow, observe, watch)
         outliers = OutlierWatch(host, outlier_rules, flows, board, log_decision)
         self._state = PassthroughState(
             host,
@@ -93,6 +98,7 @@
             directory_trust,
             process,
             outliers,
+            watch=watch,
             shares=shares,
         )
         self._locations = FlowLocations(host)
@@ -116,6 +122,12 @@
         """Tell whether most flows of the backend server have a single request."""
         return self._state.flows.meter.has_short_flows
 
+    @property
+    def open_feeds(self) -> int | None:
+        """Return the number of open feeds, or None for plain placement."""
+        watch = self._state.watch
+        return watch.pledges.open_feeds if watch is not None else None
+
     @property
     def queued(self) -> int:
         """Return the number of queued openings."""
@@ -179,6 +191,8 @@
     def set_table(self, table: RouteTable) -> None:
         """Replace the route table by a newer version."""
         self._state.table = table
+        if self._state.watch is not None:
+            self._state.watch.habits.keep_only(table)
         self._register_all()
 
     def set_agents(
@@ -355,9 +369,13 @@
         self._state.flows.record_caller_packet(segment, flow, now)
         if not segment.opening and (not flow.registered_with or frame.visited):
             self._register(segment.flow, flow, force=bool(frame.visited))
+        if segment.opening:
+            self._state.log_decision(
+                "opening_repeated", segment.flow, hops=len(frame.visited)
+            )
         effects: list[PassthroughEffect] = [ToBackend(segment.data)]
         if frame.wants_owner:
-            owned = Owned(segment.flow, self._state.load_report(now))
+            owned = self._state.announce(segment.flow, now)
             effects.append(ToPeer(frame.origin, owned))
         return effects
 
@@ -375,7 +393,7 @@
             self._register(segment.flow, flow)
         if frame is None:
             return []
-        owned = Owned(segment.flow, self._state.load_report(now))
+        owned = self._state.announce(segment.flow, now)
         effects: list[PassthroughEffect] = [ToPeer(frame.origin, owned)]
         if frame.inquirer:
             held = self._search.prepare_findings(now)
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -17,6 +17,10 @@
 
 # Upper bound of the requests and slots of one server that a report may state.
 MAX_REQUESTS = 1_000_000
+# Upper bound of the load of one flow that a report may state: 1,000 slots.
+MAX_FEED_LOAD = 1_000_000_000
+# Largest value of a habit (`placement.flow_habits`).
+MAX_HABIT = 2
 
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
@@ -60,6 +64,10 @@
         Percentage of the recent requests that the server failed.
     answer_age_ms : int or None
         Milliseconds since the server's newest answer; None without a recent one.
+    feed_load : int
+        Millionths of a slot that the requests of one more long flow will occupy.
+    mixed : bool
+        Whether the server gets long flows beside flows of one request, and both count.
     """
 
     accepting: bool
@@ -79,6 +87,8 @@
     pledged: Annotated[float, Meta(ge=0, le=MAX_REQUESTS)] = 0.0
     failed_percent: Annotated[int, Meta(ge=0, le=100)] = 0
     answer_age_ms: Annotated[int, Meta(ge=0)] | None = None
+    feed_load: Annotated[int, Meta(ge=0, le=MAX_FEED_LOAD)] = 0
+    mixed: bool = False
 
 
 class Forward(msgspec.Struct, array_like=True, tag=1):
@@ -103,6 +113,8 @@
     inquirer : str
         IP address of the agent that searches for the flow, to be answered if the
         receiver does not hold it; empty if the receiver is to search itself.
+    habit : int
+        Whether the flow will have one request (1) or many (2), if the balancer knows.
     """
 
     origin: str
@@ -113,13 +125,25 @@
     wants_owner: bool
     data: bytes
     inquirer: str = ""
+    habit: Annotated[int, Meta(ge=0, le=MAX_HABIT)] = 0
 
 
 class Owned(msgspec.Struct, array_like=True, tag=2):
-    """Tell a balancer that the sender owns a flow."""
+    """Tell a balancer that the sender owns a flow.
+
+    Attributes
+    ----------
+    flow : bytes
+        Key of the flow.
+    load : LoadReport
+        Load of the sender's server.
+    habit : int
+        Whether flows of its route have one request (1) or many (2), if known.
+    """
 
     flow: bytes
     load: LoadReport
+    habit: Annotated[int, Meta(ge=0, le=MAX_HABIT)] = 0
 
 
 class Registered(msgspec.Struct, array_like=True, tag=3):
@@ -315,4 +339,5 @@
         True,
         frame.data,
         inquirer,
+        frame.habit,
     )
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -90,6 +90,7 @@
             process,
             _build_outlier_rules(node),
             self._shares,
+            node.settings.placement.policy == "mixed",
         )
         self._sent_ejected = False
         self._directory = AgentDirectory(
@@ -448,6 +449,11 @@
             if self._shares is not None:
                 node.metrics.gauge("callers", len(self._shares))
                 node.metrics.gauge("callers_ahead", self._agent.callers_ahead(now))
+            if self._agent.open_feeds is not None:
+                load = self._agent.load_report(now)
+                node.metrics.gauge("feeds", self._agent.open_feeds)
+                node.metrics.gauge("pledged_slots", load.pledged)
+                node.metrics.gauge("mixed_flows", float(load.mixed))
 
     async def _run_sweeps(self) -> None:
         while True:
--- a/tests/overload_replay.py
+++ b/tests/overload_replay.py
@@ -133,7 +133,7 @@
             rules.smooth_load(self.now)
             self._run_effects(name, rules.judge_server(self.now))
             frame = Load(rules.load_report(self.now))
-            peers = [*self.routers, *(set(self.servers) - {name})]
+            peers = [*self.routers, *(p for p in self.servers if p != name)]
             self._run_effects(name, [ToPeer(peer, frame) for peer in peers])
             self.after(REPORT_SECONDS, report)
 
@@ -187,7 +187,7 @@
                 self._run_effects(name, rules.admit_queued(self.now))
                 return
             frame = Load(rules.load_report(self.now))
-            for peer in set(self.servers) - {name}:
+            for peer in (p for p in self.servers if p != name):
                 self.after(NODE_SECONDS, lambda p=peer: self.hear(p, name, frame))
 
         self.after(seconds, check)
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -126,6 +126,8 @@
     outlier_rules = OutlierRules()
     # Whether agents keep shares of callers.
     tells_callers_apart = False
+    # Whether the nodes place by `policy = mixed`.
+    mixed_placement = False
 
     def __init__(
         self, agents: dict[str, tuple[str, str]], balancers: dict[str, str]
@@ -176,6 +178,7 @@
             process,
             self.outlier_rules,
             CallerShares() if self.tells_callers_apart else None,
+            self.mixed_placement,
         )
         self.agents[name] = rules
         rules.set_table(self.table)
@@ -190,7 +193,12 @@
         """Start a balancer without hints."""
         board = self.boards[name] = LoadBoard()
         self.routers[name] = PassthroughRouter(
-            name, data_centre, board, packets, self._log_decision
+            name,
+            data_centre,
+            board,
+            packets,
+            self._log_decision,
+            self.mixed_placement,
         )
         if configured:
             self.configure_balancer(name)
