Offer overdue openings of repeatable requests to a second agent

Cause: an opening that was sent to a stalled agent waits there until its caller sends a copy after 200 ms. Change: with a share above 0, a balancer offers such an opening to a second agent once the answer is overdue; it resets the caller only when every agent that was offered the opening has refused it. Off without its setting.

--- a/src/berylturn/connection/admission/passthrough_openings.py
+++ b/src/berylturn/connection/admission/passthrough_openings.py
@@ -5,7 +5,7 @@
 from ...version.owners import AgentEntry, rank_agents
 from ..passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
 from ..passthrough_state import PassthroughState
-from ..peer_frames import Forward, Owned, next_forward
+from ..peer_frames import SECOND_OFFER, Forward, Owned, Refused, next_forward
 from ..placement.load_board import choose_for_opening, choose_soonest
 from ..placement.work_meter import WorkMeter
 from ..recovery.offers import Offers
@@ -67,6 +67,8 @@
             reason = "stopping"
         if reason is None and self._is_busy(now):
             reason = "busy"
+        if frame.offer == SECOND_OFFER and (reason or self._state.gate.is_cold(now)):
+            return self._refuse(frame, segment, reason or "cold", now)
         if reason is not None:
             return self._forward_to_sibling(frame, segment, service, reason, now)
         return self._admit(frame, segment, now, now)
@@ -78,6 +80,8 @@
         service = self._state.service_of(frame, segment)
         if service is None:
             return self._refuse(frame, segment, "no_route", now)
+        if frame.offer == SECOND_OFFER:
+            return self._refuse(frame, segment, "backend_refused", now)
         return self._forward_to_sibling(frame, segment, service, "backend_refused", now)
 
     def admit_queued(self, now: float) -> list[PassthroughEffect]:
@@ -329,12 +333,18 @@
     def _refuse(
         self, frame: Forward, segment: Segment, reason: str, now: float
     ) -> list[PassthroughEffect]:
+        is_second = frame.offer == SECOND_OFFER
         self._state.log_decision(
-            "flow_refused",
+            "second_offer_declined" if is_second else "flow_refused",
             segment.flow,
             reason=reason,
             hops=len(frame.visited),
             version=self._state.table.version,
             report_age=now - self._state.gate.reported_at,
         )
+        if frame.offer:
+            offered_to = frame.visited[0] if frame.visited else self._state.host
+            load = self._state.load_report(now)
+            refused = Refused(segment.flow, segment.acknowledged, offered_to, load)
+            return [ToPeer(frame.origin, refused)]
         return [reset_caller(self._state.codec, segment.flow, segment.acknowledged)]
--- a/src/berylturn/connection/passthrough_router.py
+++ b/src/berylturn/connection/passthrough_router.py
@@ -12,8 +12,17 @@
 from ..version.agent_directory import Directory
 from ..version.owners import AgentEntry, rank_agents
 from ..version.routes import RouteTable
+from .admission.second_offers import SecondOffers
 from .passthrough_effects import LogDecision, PassthroughEffect, ToPeer, reset_caller
-from .peer_frames import Forward, Load, Owned
+from .peer_frames import (
+    FIRST_OFFER,
+    SECOND_OFFER,
+    SINGLE_OFFER,
+    Forward,
+    Load,
+    Owned,
+    Refused,
+)
 from .placement.load_board import LoadBoard, choose_for_opening
 from .segments import Segment, SegmentCodec
 
@@ -51,6 +60,8 @@
         Decodes and builds packets.
     log_decision : callable
         Logs a decision: event name, flow key, and the inputs as keywords.
+    second_offers : SecondOffers or None
+        Openings that may be offered to a second agent; None if none may.
     """
 
     def __init__(
@@ -60,12 +71,14 @@
         board: LoadBoard,
         codec: SegmentCodec,
         log_decision: LogDecision,
+        second_offers: SecondOffers | None = None,
     ) -> None:
         self._host = host
         self._data_centre = data_centre
         self._board = board
         self._codec = codec
         self._log_decision = log_decision
+        self._second_offers = second_offers
         self._table: RouteTable | None = None
         self._directory: Directory | None = None
         self._evacuated: frozenset[str] = frozenset()
@@ -134,6 +147,8 @@
             return []
         if segment.opening:
             return self._on_opening(segment, table, now)
+        if self._second_offers is not None:
+            self._second_offers.record_open(segment.flow)
         hint = self._hints.get(segment.flow)
         if hint is not None and hint.host in self._agents.by_host:
             wants_owner = now - hint.confirmed_at > HINT_REFRESH_SECONDS
@@ -160,14 +175,52 @@
         self._log_decision("packets_released", b"", held=len(buffered))
         return effects
 
-    def on_frame(self, host: str, frame: Owned | Load, now: float) -> None:
+    def offer_overdue(self, now: float) -> list[PassthroughEffect]:
+        """Offer the openings whose answers are overdue to second agents."""
+        offers, table = self._second_offers, self._table
+        if offers is None or table is None:
+            return []
+        effects: list[PassthroughEffect] = []
+        for opening in offers.pop_overdue(now):
+            segment, service = opening.segment, opening.service
+            near = [
+                agent
+                for agent in self._agents.by_service.get(service, ())
+                if agent.data_centre == self._data_centre and not self._evacuated
+            ]
+            ranked = rank_agents(segment.flow, self._data_centre, near)
+            chosen = offers.choose_second(opening, ranked, self._board, now)
+            if chosen is None:
+                continue
+            self._board.record_opening(chosen.host)
+            effects.append(
+                self._forward(
+                    segment, chosen.host, table, service, True, now, SECOND_OFFER
+                )
+            )
+        return effects
+
+    def on_frame(
+        self, host: str, frame: Owned | Load | Refused, now: float
+    ) -> list[PassthroughEffect]:
         """Handle a frame from an agent."""
         self._board.record_report(host, frame.load, now)
-        if type(frame) is Owned:
+        second_offers = self._second_offers
+        if type(frame) is Refused:
+            is_refused = second_offers is not None and second_offers.record_refusal(
+                frame.flow, frame.offered_to, host
+            )
+            if not is_refused:
+                return []
+            return [reset_caller(self._codec, frame.flow, frame.acknowledged)]
+        if type(frame) is Owned and (
+            second_offers is None or second_offers.record_owner(frame.flow, host, now)
+        ):
             self._hints.pop(frame.flow, None)
             self._hints[frame.flow] = _Hint(host, now)
             if len(self._hints) > MAX_HINTS:
                 del self._hints[next(iter(self._hints))]
+        return []
 
     def _buffer(self, segment: Segment, now: float) -> None:
         """Buffer the newest packet of a flow until it can be forwarded."""
@@ -192,7 +245,7 @@
             return self._refuse(segment, "no_route", table, now)
         hint = self._hints.get(segment.flow)
         if hint is not None and not self._board.is_suspect(hint.host, now):
-            return [self._forward(segment, hint.host, table, service, True, now)]
+            return [self._offer(segment, hint.host, table, service, now)]
         agents = self._agents.by_service.get(service, ())
         ranked = rank_agents(
             segment.flow,
@@ -228,7 +281,22 @@
             pressure=self._board.pressure(chosen.host, now),
             report_age=self._board.report_age(chosen.host, now),
         )
-        return [self._forward(segment, chosen.host, table, service, True, now)]
+        return [self._offer(segment, chosen.host, table, service, now)]
+
+    def _offer(
+        self, segment: Segment, host: str, table: RouteTable, service: str, now: float
+    ) -> ToPeer:
+        """Send an opening to an agent, for now to this one only."""
+        offers = self._second_offers
+        offer = SINGLE_OFFER
+        if (
+            offers is not None
+            and offers.is_on
+            and table.route_of(segment.flow).repeatable
+        ):
+            offer = FIRST_OFFER
+            offers.record_opening(segment, service, host, now)
+        return self._forward(segment, host, table, service, True, now, offer)
 
     def _refuse(
         self, segment: Segment, reason: str, table: RouteTable, now: float
@@ -246,6 +314,7 @@
         service: str,
         wants_owner: bool,
         now: float,
+        offer: int = SINGLE_OFFER,
     ) -> ToPeer:
         if wants_owner:
             self._board.expect_answer(host, now)
@@ -258,5 +327,6 @@
             [],
             wants_owner,
             segment.data,
+            offer=offer,
         )
         return ToPeer(host, frame)
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -18,6 +18,10 @@
 # Upper bound of the requests and slots of one server that a report may state.
 MAX_REQUESTS = 1_000_000
 
+# Values of `Forward.offer`: an opening that only this agent has, one that its balancer
+# may offer to a second agent, and one that another agent was offered before.
+SINGLE_OFFER, FIRST_OFFER, SECOND_OFFER = 0, 1, 2
+
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
     """Load of an agent's backend server.
@@ -97,6 +101,9 @@
     inquirer : str
         IP address of the agent that searches for the flow, to be answered if the
         receiver does not hold it; empty if the receiver is to search itself.
+    offer : int
+        Which offer of an opening this is; the balancer decides on the refusal of all
+        but a single one.
     """
 
     origin: str
@@ -107,6 +114,7 @@
     wants_owner: bool
     data: bytes
     inquirer: str = ""
+    offer: Annotated[int, Meta(ge=SINGLE_OFFER, le=SECOND_OFFER)] = SINGLE_OFFER
 
 
 class Owned(msgspec.Struct, array_like=True, tag=2):
@@ -211,6 +219,27 @@
     confirmation_age_ms: int | None
 
 
+class Refused(msgspec.Struct, array_like=True, tag=11):
+    """Tell a balancer that an opening which it may offer elsewhere is refused.
+
+    Attributes
+    ----------
+    flow : bytes
+        Key of the flow.
+    acknowledged : int
+        Position for the reset of the caller.
+    offered_to : str
+        IP address of the agent that the balancer had sent the opening to.
+    load : LoadReport
+        Load of the sender's backend server.
+    """
+
+    flow: bytes
+    acknowledged: Annotated[int, Meta(ge=0, lt=1 << 32)]
+    offered_to: str
+    load: LoadReport
+
+
 PeerFrame = (
     Forward
     | Owned
@@ -221,6 +250,7 @@
     | Findings
     | ViewInquiry
     | ViewStatus
+    | Refused
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -255,4 +285,5 @@
         True,
         frame.data,
         inquirer,
+        frame.offer,
     )
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -5,8 +5,9 @@
 import asyncio
 import random
 
+from ..connection.admission.second_offers import SecondOfferLimits, SecondOffers
 from ..connection.passthrough_router import PassthroughRouter
-from ..connection.peer_frames import Load, Owned, PeerFrame, Probe
+from ..connection.peer_frames import Load, Owned, PeerFrame, Probe, Refused
 from ..connection.placement.load_board import LoadBoard
 from ..connection.segments import Segment
 from ..errors import PacketError
@@ -24,6 +25,8 @@
 # Age at which a balancer requests a new load report; agents in other data centres send
 # one each second.
 MAX_REPORT_AGE_SECONDS = 1.6
+# Shortest time between two checks for overdue answers.
+OFFER_CHECK_SECONDS = 0.01
 # Interval at which a stopping balancer checks whether packets still arrive.
 QUIET_CHECK_SECONDS = 0.25
 # Silence after which an agent's directory entry is removed. New flows avoid the agent
@@ -48,12 +51,15 @@
     def __init__(self, node: PassthroughNode) -> None:
         self._node = node
         self._board = LoadBoard()
+        self._second_offers = SecondOffers(_build_offer_limits(node), node.log_decision)
+        self._offer_timer: asyncio.TimerHandle | None = None
         self._router = PassthroughRouter(
             node.host,
             node.settings.node.data_centre,
             self._board,
             node.codec,
             node.log_decision,
+            self._second_offers,
         )
         self._directory = AgentDirectory(self._board.has_left)
         self._stopping = False
@@ -73,6 +79,9 @@
         node = self._node
         node.list_known_peers = self._list_recent_agents
         node.describe = self._describe_state
+        node.on_settings_reloaded = lambda: self._second_offers.set_limits(
+            _build_offer_limits(node)
+        )
         await node.open(
             self._on_caller_packet,
             self._on_frame,
@@ -105,12 +114,28 @@
         now = node.now()
         self._last_packet_at = now
         node.send_effects(self._router.on_caller(segment, now))
+        if segment.opening and self._offer_timer is None:
+            self._schedule_offers(now)
 
     def _on_frame(self, host: str, frame: PeerFrame) -> None:
-        if isinstance(frame, Owned | Load):
-            self._router.on_frame(host, frame, self._node.now())
+        if isinstance(frame, Owned | Load | Refused):
+            effects = self._router.on_frame(host, frame, self._node.now())
+            self._node.send_effects(effects)
             self._node.sync.handle_peer_revisions(host, frame.load.newest)
 
+    def _schedule_offers(self, now: float) -> None:
+        seconds = self._second_offers.seconds_until_due(now)
+        if seconds is not None and not self._stopping:
+            self._offer_timer = asyncio.get_running_loop().call_later(
+                max(seconds, OFFER_CHECK_SECONDS), self._offer_overdue
+            )
+
+    def _offer_overdue(self) -> None:
+        self._offer_timer = None
+        now = self._node.now()
+        self._node.send_effects(self._router.offer_overdue(now))
+        self._schedule_offers(now)
+
     def _on_objects_changed(self, kind: Kind) -> None:
         node = self._node
         if kind is Kind.CONFIGURATION and node.table.version:
@@ -171,3 +196,8 @@
             await remove_stale_entry(
                 self._node.store, self._node.view, name, silent_seconds
             )
+
+
+def _build_offer_limits(node: PassthroughNode) -> SecondOfferLimits:
+    section = node.settings.second_offers
+    return SecondOfferLimits(section.share, section.delay.total_seconds())
