--- a/src/berylturn/connection/admission/second_offers.py
+++ b/src/berylturn/connection/admission/second_offers.py
@@ -17,6 +17,7 @@
 
 from ...version.owners import AgentEntry
 from ..passthrough_effects import LogDecision
+from ..peer_frames import LoadReport
 from ..placement.load_board import FULL_PRESSURE, LoadBoard, choose_for_opening
 from ..segments import Segment
 from .opening_queue import ATTEMPT_SECONDS
@@ -30,6 +31,9 @@
 MAX_ANSWER_TIMES = 256
 # Answers after which the percentile is worked out again.
 ANSWERS_PER_UPDATE = 32
+# Requests per slot, those expected on new flows included, up to which a server has no
+# backlog: one in progress and one whose caller has yet to send it.
+MAX_OUTSTANDING_PER_SLOT = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -301,26 +305,32 @@
 ) -> tuple[AgentEntry | None, str]:
     """Return an agent that can take extra work, or the reason why there is none.
 
-    A service with a cold, draining or ejected server needs the others for its own work.
+    A service with a cold or leaving server needs the others for its own work. Under
+    overload no server is at ease.
     """
     others = [agent for agent in ranked if agent.host not in excluded]
     reports = {agent.host: board.fresh_report(agent.host, now) for agent in others}
     known = [report for report in reports.values() if report is not None]
     if any(report.cold for report in known):
         return None, "cold"
-    if any(report.stopping or not report.accepting for report in known):
-        return None, "not_accepting"
-    if any(report.ejected_ms for report in known):
-        return None, "ejected"
+    if any(report.stopping for report in known):
+        return None, "stopping"
     at_ease = [
         agent
         for agent in others
         if (report := reports[agent.host]) is not None
-        and not board.is_suspect(agent.host, now)
-        and report.outstanding < report.slots
-        and board.pressure(agent.host, now) < FULL_PRESSURE
+        and board.accepts(agent.host, now)
+        and not report.ejected_ms
+        and _is_at_ease(agent.host, report, board, now)
     ]
-    if 2 * len(at_ease) < len(others) or not at_ease:
+    if not at_ease:
         return None, "load" if others else "no_other_server"
     chosen = choose_for_opening(at_ease, at_ease[0].data_centre, board, (), now)
     return chosen, ""
+
+
+def _is_at_ease(host: str, report: LoadReport, board: LoadBoard, now: float) -> bool:
+    """Tell whether a server has no request waiting for a slot, or slots to spare."""
+    if report.short_flows:
+        return report.outstanding < MAX_OUTSTANDING_PER_SLOT * report.slots
+    return board.pressure(host, now) < FULL_PRESSURE
--- a/tests/overload_replay.py
+++ b/tests/overload_replay.py
@@ -80,6 +80,8 @@
         Seed of arrivals and work.
     """
 
+    data_centres = 4
+
     def __init__(self, servers: int, seed: int) -> None:
         self.random = random.Random(seed)
         self.timers: list[tuple[float, int, Callable[[], None]]] = []
@@ -88,9 +90,9 @@
         self.requests: list[Request] = []
         self.flows: dict[bytes, tuple[Request, str]] = {}
         self.running_timers: set[str] = set()
-        centres = ["dc-a", "dc-b", "dc-c", "dc-d"]
-        agents = {f"a{n}": (centres[n % 4], "desk") for n in range(servers)}
-        balancers = {f"f{n}": centres[n] for n in range(4)}
+        centres = ["dc-a", "dc-b", "dc-c", "dc-d"][: self.data_centres]
+        agents = {f"a{n}": (centres[n % len(centres)], "desk") for n in range(servers)}
+        balancers = {f"f{n}": centre for n, centre in enumerate(centres)}
         self.servers = {
             name: Server(SPEEDS[n % len(SPEEDS)]) for n, name in enumerate(agents)
         }
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -13,6 +13,10 @@
 from dataclasses import dataclass, field
 
 from berylturn.connection.admission.opening_gate import GateBounds, OpeningGate
+from berylturn.connection.admission.second_offers import (
+    SecondOfferLimits,
+    SecondOffers,
+)
 from berylturn.connection.passthrough import PassthroughAgent
 from berylturn.connection.passthrough_effects import ToBackend, ToCaller, ToPeer
 from berylturn.connection.passthrough_router import PassthroughRouter
@@ -23,6 +27,7 @@
     Load,
     LoadReport,
     Owned,
+    Refused,
     Registered,
 )
 from berylturn.connection.placement.load_board import LoadBoard
@@ -121,6 +126,9 @@
         Data centre of each balancer, by name.
     """
 
+    # Second offers are off, as they are without their setting.
+    offer_limits = SecondOfferLimits(0.0, 0.05)
+
     def __init__(
         self, agents: dict[str, tuple[str, str]], balancers: dict[str, str]
     ) -> None:
@@ -179,8 +187,9 @@
         self, name: str, data_centre: str, configured: bool = True
     ) -> None:
         """Start a balancer without hints."""
+        second_offers = SecondOffers(self.offer_limits, self._log_decision)
         self.routers[name] = PassthroughRouter(
-            name, data_centre, LoadBoard(), packets, self._log_decision
+            name, data_centre, LoadBoard(), packets, self._log_decision, second_offers
         )
         if configured:
             self.configure_balancer(name)
@@ -335,8 +344,8 @@
         frame = effect.frame
         self.frame_counts[type(frame).__name__] += 1
         if effect.host in self.routers:
-            if isinstance(frame, Owned | Load):
-                self.routers[effect.host].on_frame(sender, frame, self.now)
+            if isinstance(frame, Owned | Load | Refused):
+                return self.routers[effect.host].on_frame(sender, frame, self.now)
             return []
         rules = self.agents[effect.host]
         if type(frame) is Load:
