--- a/src/berylturn/process/settings_file.py
+++ b/src/berylturn/process/settings_file.py
@@ -22,6 +22,8 @@
         ("opaque_backend", "cold_slack"),
         ("opaque_backend", "longest_flow"),
         ("opaque_backend", "service"),
+        ("second_offers", "share"),
+        ("second_offers", "delay"),
     }
 )
 
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -94,6 +94,19 @@
         self.assertEqual(service, table.service_of(FLOW))
         self.assertEqual("desk", table.service_of(FLOW[:9] + b"\x02" + FLOW[10:]))
 
+    @params(
+        ("idempotent", True),
+        ("download", True),
+        ("non_idempotent", False),
+        ("", False),
+        (None, False),
+    )
+    def test_repeatable_requests(self, kind: str | None, repeatable: bool) -> None:
+        route = ROUTE if kind is None else {**ROUTE, "type": kind}
+        body = {"version": 3, "routes": [route], "services": []}
+        table, _problems = decode_configuration(json.dumps(body).encode())
+        self.assertEqual(repeatable, table.route_of(FLOW).repeatable)
+
     @params(b"", b"[]", b'{"version":"x","routes":[],"services":[]}')
     def test_unreadable(self, body: bytes) -> None:
         with self.assertRaises(PlatformError):
