Explain where a passthrough node would send an opening, without sending it

Cause: where an opening would go could only be learnt by sending it. The decisions on openings are split from their effects, so that the forecast calls the functions that decide.

--- a/src/berylturn/cli.py
+++ b/src/berylturn/cli.py
@@ -30,6 +30,7 @@
     StatusRequest,
     call_control,
 )
+from .process.forecast import fetch_forecast
 from .process.http_client import HttpConnection
 from .process.object_view import STATE_PATH
 from .process.operator_tool import NotInForce, OperatorTool
@@ -107,8 +108,37 @@
     _run(_show_status(OperatorTool(platform, json, _parse_tls(tls))))
 
 
-def explain_service(service, platform="", json=False, **tls):
-    """Show the share of each backend server in a service, and the reason."""
+def explain_service(
+    service="", platform="", json=False, node="", address="", **options
+):
+    """Show the share of each backend server in a service, and the reason.
+
+    With `--node` it shows where a passthrough node would send an opening now, and why.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service; empty with `--node`.
+    platform : str
+        URL of the platform.
+    json : bool
+        Whether to print the JSON text unchanged.
+    node : str
+        IP:PORT of the peer port of a passthrough node.
+    address : str
+        IP:PORT of the platform that the caller opens a flow to.
+    from : str
+        IP:PORT of the caller.
+    """
+    if node:
+        caller = options.pop("from", "")
+        if service or platform or options:
+            raise SettingsError("--node takes --address, --from and --json only")
+        print(asyncio.run(fetch_forecast(str(node), str(address), str(caller), json)))
+        return
+    if not service:
+        raise SettingsError("name a service, or a node with --node IP:PORT")
+    tls = options
     _run(_explain_service(OperatorTool(platform, json, _parse_tls(tls)), service))
 
 
--- a/src/berylturn/connection/admission/passthrough_openings.py
+++ b/src/berylturn/connection/admission/passthrough_openings.py
@@ -62,17 +62,55 @@
         service = self._state.service_of(frame, segment)
         if service is None:
             return self._refuse(frame, segment, "no_route", now)
-        reason = self._state.gate.refusal(service, now)
-        if self._state.stopping and reason is None:
-            reason = "stopping"
-        if reason is None and self._is_busy(now):
-            reason = "busy"
+        reason = self.find_obstacle(service, now)
         if frame.offer == SECOND_OFFER and (reason or self._state.gate.is_cold(now)):
             return self._refuse(frame, segment, reason or "cold", now)
         if reason is not None:
             return self._forward_to_sibling(frame, segment, service, reason, now)
         return self._admit(frame, segment, now, now)
 
+    def find_obstacle(self, service: str, now: float) -> str | None:
+        """Return the reason why an opening is not admitted at once, or None."""
+        reason = self._state.gate.refusal(service, now)
+        if self._state.stopping and reason is None:
+            reason = "stopping"
+        if reason is None and self._is_busy(now):
+            reason = "busy"
+        return reason
+
+    def plan_elsewhere(
+        self, frame: Forward, segment: Segment, service: str, reason: str, now: float
+    ) -> tuple[AgentEntry | None, float | None]:
+        """Return the sibling that gets an opening, or how long it waits here.
+
+        Both are None if it is refused.
+        """
+        is_cold = reason == "cold"
+        if reason == "busy":
+            chosen = self._choose_sooner_sibling(frame, segment, service, now)
+        else:
+            chosen = self._choose_sibling(frame, segment, service, not is_cold, now)
+        if chosen is not None:
+            return chosen, None
+        wait = self._expected_wait(reason, now)
+        if wait is not None and wait <= remaining_attempt_seconds(segment):
+            return None, wait
+        if is_cold:
+            chosen = self._choose_sibling(frame, segment, service, True, now)
+        return chosen, None
+
+    def is_hopeless(
+        self, frame: Forward, segment: Segment, service: str, now: float
+    ) -> bool:
+        """Tell whether, under overload, an opening's answer would come too late."""
+        if not self._is_overloaded(now):
+            return False
+        opening = self._make_queued(frame, segment, service, now)
+        ahead = self._queue.count_ahead(opening, now)
+        margin = SPREAD_FACTOR * self._meter.expected_service_seconds
+        admitted_at = now + ahead * self._meter.seconds_per_request
+        return admitted_at + margin > opening.useful_until
+
     def handle_returned(
         self, frame: Forward, segment: Segment, now: float
     ) -> list[PassthroughEffect]:
@@ -193,17 +231,9 @@
         reason: str,
         now: float,
     ) -> list[PassthroughEffect]:
-        is_cold = reason == "cold"
-        if reason == "busy":
-            chosen = self._choose_sooner_sibling(frame, segment, service, now)
-        else:
-            chosen = self._choose_sibling(frame, segment, service, not is_cold, now)
-        if chosen is None:
-            wait = self._expected_wait(reason, now)
-            if wait is not None and wait <= remaining_attempt_seconds(segment):
-                return self._enqueue(frame, segment, service, reason, wait, now)
-            if is_cold:
-                chosen = self._choose_sibling(frame, segment, service, True, now)
+        chosen, wait = self.plan_elsewhere(frame, segment, service, reason, now)
+        if wait is not None:
+            return self._enqueue(frame, segment, service, reason, wait, now)
         if chosen is None:
             return self._refuse(frame, segment, reason, now)
         self._state.board.record_opening(chosen.host)
@@ -280,11 +310,8 @@
     ) -> list[PassthroughEffect]:
         opening = self._make_queued(frame, segment, service, now)
         ahead = self._queue.count_ahead(opening, now)
-        if self._is_overloaded(now):
-            margin = SPREAD_FACTOR * self._meter.expected_service_seconds
-            admitted_at = now + ahead * self._meter.seconds_per_request
-            if admitted_at + margin > opening.useful_until:
-                return self._refuse(frame, segment, "overloaded", now)
+        if self.is_hopeless(frame, segment, service, now):
+            return self._refuse(frame, segment, "overloaded", now)
         self._state.log_decision(
             "flow_waits",
             segment.flow,
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -15,6 +15,7 @@
 from .admission.opening_gate import OpeningGate
 from .admission.passthrough_openings import OpeningHandler
 from .flow_table import FlowState, FlowTable, PassthroughFlow
+from .opening_forecast import explain_at_agent
 from .passthrough_effects import (
     LogDecision,
     PassthroughEffect,
@@ -118,6 +119,12 @@
         """Admit queued openings while there is capacity, and refuse expired ones."""
         return self._openings.admit_queued(now)
 
+    def explain(self, flow: bytes, data_centre: str, now: float) -> dict[str, object]:
+        """Return what the agent would do with an opening now, without doing it."""
+        return explain_at_agent(
+            self._state, self._openings, self._locations, data_centre, flow, now
+        )
+
     def load_report(self, now: float) -> LoadReport:
         """Return the load report for siblings and balancers."""
         return self._state.load_report(now)
--- a/src/berylturn/connection/passthrough_router.py
+++ b/src/berylturn/connection/passthrough_router.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from ..version.agent_directory import Directory
 from ..version.owners import AgentEntry, rank_agents
 from ..version.routes import RouteTable
 from .admission.second_offers import SecondOffers
+from .candidates import describe_candidates
 from .passthrough_effects import LogDecision, PassthroughEffect, ToPeer, reset_caller
 from .peer_frames import (
     FIRST_OFFER,
@@ -246,17 +248,33 @@
         hint = self._hints.get(segment.flow)
         if hint is not None and not self._board.is_suspect(hint.host, now):
             return [self._offer(segment, hint.host, table, service, now)]
+        ranked, chosen = self._choose_agent(segment.flow, service, now)
+        if chosen is None:
+            return self._refuse(segment, "no_backend_server", table, now)
+        self._board.record_opening(chosen.host)
+        self._log_decision(
+            "flow_placed",
+            segment.flow,
+            to=chosen.name,
+            service=service,
+            place=ranked.index(chosen),
+            version=table.version,
+            pressure=self._board.pressure(chosen.host, now),
+            report_age=self._board.report_age(chosen.host, now),
+        )
+        return [self._offer(segment, chosen.host, table, service, now)]
+
+    def _choose_agent(
+        self, flow: bytes, service: str, now: float
+    ) -> tuple[list[AgentEntry], AgentEntry | None]:
+        """Return the agents in a flow's order, and the one for its opening if any."""
         agents = self._agents.by_service.get(service, ())
         ranked = rank_agents(
-            segment.flow,
+            flow,
             self._data_centre,
             (agent for agent in agents if agent.data_centre not in self._evacuated),
         )
-        local_is_cold = any(
-            agent.data_centre == self._data_centre
-            and self._board.is_cold(agent.host, now)
-            for agent in ranked
-        )
+        local_is_cold = self._is_cold_here(ranked, now)
         chosen = choose_for_opening(
             ranked,
             self._data_centre,
@@ -268,20 +286,50 @@
         if chosen is None and ranked:
             # The load reports may be stale; the agent itself decides.
             chosen = ranked[0]
-        if chosen is None:
-            return self._refuse(segment, "no_backend_server", table, now)
-        self._board.record_opening(chosen.host)
-        self._log_decision(
-            "flow_placed",
-            segment.flow,
-            to=chosen.name,
-            service=service,
-            place=ranked.index(chosen),
-            version=table.version,
-            pressure=self._board.pressure(chosen.host, now),
-            report_age=self._board.report_age(chosen.host, now),
+        return ranked, chosen
+
+    def _is_cold_here(self, agents: Iterable[AgentEntry], now: float) -> bool:
+        return any(
+            agent.data_centre == self._data_centre
+            and self._board.is_cold(agent.host, now)
+            for agent in agents
         )
-        return [self._offer(segment, chosen.host, table, service, now)]
+
+    def explain(self, flow: bytes, now: float) -> dict[str, object]:
+        """Return where an opening of a flow would go now, and why, without sending it.
+
+        Of an open flow it tells the agent that the balancer takes for its holder.
+        """
+        table = self._table or RouteTable()
+        service = table.service_of(flow)
+        hint = self._hints.get(flow)
+        answer: dict[str, object] = {
+            "route": table.route_of(flow).name,
+            "version": table.version,
+            "service": service,
+            "holder": hint.host if hint is not None else None,
+        }
+        if service is None:
+            return {**answer, "refused": "no_route"}
+        ranked, chosen = self._choose_agent(flow, service, now)
+        if hint is not None and not self._board.is_suspect(hint.host, now):
+            to = hint.host
+        else:
+            to = chosen.host if chosen is not None else None
+        return {
+            **answer,
+            "to": to,
+            "refused": None if to else "no_backend_server",
+            "candidates": describe_candidates(
+                rank_agents(
+                    flow, self._data_centre, self._agents.by_service.get(service, ())
+                ),
+                self._board,
+                self._evacuated,
+                now,
+                self._data_centre if self._is_cold_here(ranked, now) else None,
+            ),
+        }
 
     def _offer(
         self, segment: Segment, host: str, table: RouteTable, service: str, now: float
--- a/src/berylturn/connection/segments.py
+++ b/src/berylturn/connection/segments.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from typing import Protocol
 
 
@@ -77,3 +78,11 @@
 def caller_host(flow: bytes) -> str:
     """Return the caller's IP address from the key of a flow."""
     return ".".join(map(str, flow[:4]))
+
+
+def make_flow_key(caller: tuple[str, int], service: tuple[str, int]) -> bytes:
+    """Return the key of a flow; raise `ValueError` for what is no IPv4 address."""
+    return b"".join(
+        IPv4Address(host).packed + port.to_bytes(2, "big")
+        for host, port in (caller, service)
+    )
--- a/src/berylturn/process/object_view.py
+++ b/src/berylturn/process/object_view.py
@@ -19,6 +19,7 @@
 
 VIEW_PATH = "/view"
 STATE_PATH = "/state"
+EXPLAIN_PATH = "/explain"
 # Encoded copies that are kept for peers with the same earlier copy.
 MAX_EXPORTS = 32
 # Digits of the largest revision or digest that a peer may send, 2**64.
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -110,6 +110,9 @@
             *(sibling.host for sibling in self._siblings),
         ]
         node.describe = self._describe_state
+        node.explain = lambda flow: self._agent.explain(
+            flow, node.settings.node.data_centre, node.now()
+        )
         node.on_settings_reloaded = lambda: self._gate.set_bounds(
             _build_gate_bounds(node)
         )
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -79,6 +79,7 @@
         node = self._node
         node.list_known_peers = self._list_recent_agents
         node.describe = self._describe_state
+        node.explain = lambda flow: self._router.explain(flow, node.now())
         node.on_settings_reloaded = lambda: self._second_offers.set_limits(
             _build_offer_limits(node)
         )
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -24,11 +24,13 @@
 from ..version.owners import AgentEntry
 from ..version.routes import RouteTable
 from .agent_entries import EntryReader
+from .forecast import serve_forecast
 from .frame_counts import FrameCounts
 from .http_server import Handler, HttpReply, HttpRequest, serve_http
 from .logs import LogWriter, RateLimitedLog, log_event, log_warning
 from .metrics import Metrics
 from .object_view import (
+    EXPLAIN_PATH,
     STATE_PATH,
     VIEW_PATH,
     Kind,
@@ -129,6 +131,8 @@
         self.on_settings_reloaded: Callable[[], None] = lambda: None
         # Returns the keys of the state page that only this kind of daemon has.
         self.describe: Callable[[], dict[str, object]] = dict
+        # Returns where an opening of a flow would go, by the flow's key.
+        self.explain: Callable[[bytes], dict[str, object]] = lambda flow: {}
 
     @property
     def host(self) -> str:
@@ -304,8 +308,19 @@
             return HttpReply(200, view, "application/msgpack")
         if request.path == STATE_PATH:
             return HttpReply(200, msgspec.json.encode(self._describe_state()))
+        if request.path.partition("?")[0] == EXPLAIN_PATH:
+            return serve_forecast(request, self._explain)
         return HttpReply(404)
 
+    def _explain(self, flow: bytes) -> dict[str, object]:
+        return {
+            "node": self.settings.node.name,
+            "data_centre": self.settings.node.data_centre,
+            "flow": describe_flow(flow),
+            "out": sorted(self.evacuated),
+            **self.explain(flow),
+        }
+
     def _describe_state(self) -> dict[str, object]:
         snapshots = self.view.snapshots
         return {
