--- a/src/berylturn/connection/admission/opening_refusals.py
+++ b/src/berylturn/connection/admission/opening_refusals.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from ..passthrough_effects import PassthroughEffect, reset_caller
+from ..passthrough_effects import PassthroughEffect, ToPeer, reset_caller
 from ..passthrough_state import PassthroughState
-from ..peer_frames import Forward
+from ..peer_frames import SECOND_OFFER, Forward, Refused
 from ..segments import Segment, caller_address
 from .caller_shares import REFUSAL_COST
 from .opening_queue import QueuedOpening
@@ -25,7 +25,7 @@
     def refuse(
         self, frame: Forward, segment: Segment, reason: str, now: float
     ) -> list[PassthroughEffect]:
-        """Reset the caller of an opening, and log why."""
+        """Reset the caller of an opening, or leave that to its balancer; log why."""
         shares, share = self._state.shares, {}
         if shares is not None:
             share["lead"] = shares.lead_seconds(
@@ -33,8 +33,9 @@
                 self._state.flows.meter.seconds_per_request,
                 now,
             )
+        is_second = frame.offer == SECOND_OFFER
         self._state.log_decision(
-            "flow_refused",
+            "second_offer_declined" if is_second else "flow_refused",
             segment.flow,
             reason=reason,
             hops=len(frame.visited),
@@ -42,6 +43,11 @@
             report_age=now - self._state.gate.reported_at,
             **share,
         )
+        if frame.offer:
+            offered_to = frame.visited[0] if frame.visited else self._state.host
+            load = self._state.load_report(now)
+            refused = Refused(segment.flow, segment.acknowledged, offered_to, load)
+            return [ToPeer(frame.origin, refused)]
         return [reset_caller(self._state.codec, segment.flow, segment.acknowledged)]
 
     def refuse_unqueued(
--- a/src/berylturn/connection/admission/passthrough_openings.py
+++ b/src/berylturn/connection/admission/passthrough_openings.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from ...version.owners import AgentEntry, rank_agents
 from ..passthrough_effects import PassthroughEffect, ToBackend, ToPeer
 from ..passthrough_state import PassthroughState
-from ..peer_frames import Forward, next_forward
+from ..peer_frames import SECOND_OFFER, Forward, next_forward
 from ..placement.flow_habits import Habit
 from ..placement.load_board import choose_for_opening, choose_soonest
 from ..placement.work_meter import WorkMeter
@@ -39,6 +41,28 @@
 SPREAD_FACTOR = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class OpeningPlan:
+    """What to do with an opening that is not admitted at once.
+
+    Attributes
+    ----------
+    sibling : AgentEntry or None
+        Agent that it is passed on to.
+    wait_seconds : float or None
+        How long it is expected to wait here.
+    admits : bool
+        Whether it is admitted in spite of the obstacle.
+    refusal : str or None
+        Why it is refused.
+    """
+
+    sibling: AgentEntry | None = None
+    wait_seconds: float | None = None
+    admits: bool = False
+    refusal: str | None = None
+
+
 class OpeningHandler:
     """Admit, forward, queue or refuse the openings of flows.
 
@@ -72,6 +96,16 @@
             return self._refusals.refuse(frame, segment, "no_route", now)
         if self._state.shares is not None:
             self._state.shares.record(caller_address(segment.flow), now)
+        reason = self.find_obstacle(segment, service, now)
+        if frame.offer == SECOND_OFFER and (reason or self._state.gate.is_cold(now)):
+            return self._refusals.refuse(frame, segment, reason or "cold", now)
+        if reason is not None:
+            return self._forward_to_sibling(frame, segment, service, reason, now)
+        self._refusals.charge(segment, 1.0, now)
+        return self._admit(frame, segment, now, now)
+
+    def find_obstacle(self, segment: Segment, service: str, now: float) -> str | None:
+        """Return the reason why an opening is not admitted at once, or None."""
         reason = self._state.gate.refusal(service, now)
         if self._state.stopping and reason is None:
             reason = "stopping"
@@ -79,10 +113,51 @@
             reason = "ejected"
         if reason is None and self._is_busy(now):
             reason = "busy"
-        if reason is not None:
-            return self._forward_to_sibling(frame, segment, service, reason, now)
-        self._refusals.charge(segment, 1.0, now)
-        return self._admit(frame, segment, now, now)
+        return reason
+
+    def plan_elsewhere(
+        self, frame: Forward, segment: Segment, service: str, reason: str, now: float
+    ) -> OpeningPlan:
+        """Return what to do with an opening that is not admitted at once.
+
+        Parameters
+        ----------
+        frame, segment : Forward, Segment
+            The opening.
+        service : str
+            Its service.
+        reason : str
+            What `find_obstacle` returned.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        if reason == "cold":
+            return self._plan_while_cold(frame, segment, service, now)
+        if reason == "busy":
+            chosen = self._choose_sooner_sibling(frame, segment, service, now)
+        else:
+            chosen = self._choose_sibling(frame, segment, service, True, now)
+        if chosen is not None:
+            return OpeningPlan(sibling=chosen)
+        wait = self._expected_wait(reason, now)
+        if wait is not None and wait <= remaining_attempt_seconds(segment):
+            return OpeningPlan(wait_seconds=wait)
+        if reason != "ejected":
+            return OpeningPlan(refusal=reason)
+        # No sibling takes it though this server fails.
+        if not self._meter.has_short_flows or self._has_capacity_for_queued(now):
+            return OpeningPlan(admits=True)
+        return OpeningPlan(wait_seconds=self._expected_wait("busy", now))
+
+    def find_overload(
+        self, frame: Forward, segment: Segment, service: str, now: float
+    ) -> str | None:
+        """Return why an opening is refused rather than queued, or None."""
+        if not self._is_overloaded(now):
+            return None
+        opening = make_queued(self._state, frame, segment, service, now)
+        ahead = self._queue.count_ahead(opening, now)
+        return self._overload_refusal(opening, ahead, now)
 
     def handle_returned(
         self, frame: Forward, segment: Segment, now: float
@@ -91,6 +166,8 @@
         service = self._state.service_of(frame, segment)
         if service is None:
             return self._refusals.refuse(frame, segment, "no_route", now)
+        if frame.offer == SECOND_OFFER:
+            return self._refusals.refuse(frame, segment, "backend_refused", now)
         return self._forward_to_sibling(frame, segment, service, "backend_refused", now)
 
     def admit_queued(self, now: float) -> list[PassthroughEffect]:
@@ -249,26 +326,23 @@
         reason: str,
         now: float,
     ) -> list[PassthroughEffect]:
-        is_cold = reason == "cold"
-        if reason == "busy":
-            chosen = self._choose_sooner_sibling(frame, segment, service, now)
-        else:
-            chosen = self._choose_sibling(frame, segment, service, not is_cold, now)
-        if chosen is None and is_cold:
-            return self._wait_while_cold(frame, segment, service, now)
-        if chosen is None:
-            wait = self._expected_wait(reason, now)
-            if wait is not None and wait <= remaining_attempt_seconds(segment):
-                return self._enqueue(frame, segment, service, reason, wait, now)
-            if reason == "ejected":
-                return self._take_anyway(frame, segment, service, now)
-            return self._refusals.refuse(frame, segment, reason, now)
-        return self._pass_on(frame, segment, service, reason, chosen, now)
-
-    def _wait_while_cold(
+        plan = self.plan_elsewhere(frame, segment, service, reason, now)
+        if plan.sibling is not None:
+            return self._pass_on(frame, segment, service, reason, plan.sibling, now)
+        if plan.admits:
+            return self._admit(frame, segment, now, now)
+        if plan.wait_seconds is None:
+            return self._refusals.refuse(frame, segment, plan.refusal or reason, now)
+        cause = "busy" if reason == "ejected" else reason
+        return self._enqueue(frame, segment, service, cause, plan.wait_seconds, now)
+
+    def _plan_while_cold(
         self, frame: Forward, segment: Segment, service: str, now: float
-    ) -> list[PassthroughEffect]:
-        """Queue, pass on or refuse an opening that the cold limit does not admit."""
+    ) -> OpeningPlan:
+        """Return what to do with an opening that the cold limit does not admit."""
+        chosen = self._choose_sibling(frame, segment, service, False, now)
+        if chosen is not None:
+            return OpeningPlan(sibling=chosen)
         opening = make_queued(self._state, frame, segment, service, now)
         if opening.has_objective:
             ahead = self._queue.count_ahead(opening, now)
@@ -281,12 +355,11 @@
         if prospect is not Prospect.PLACE:
             chosen = self._choose_sibling(frame, segment, service, True, now)
             if chosen is not None:
-                return self._pass_on(frame, segment, service, "cold", chosen, now)
+                return OpeningPlan(sibling=chosen)
         if prospect in (Prospect.PLACE, Prospect.NEXT_ATTEMPT):
-            wait = place_at - now
-            return self._enqueue(frame, segment, service, "cold", wait, now)
-        reason = "come_back" if prospect is Prospect.COME_BACK else "cold"
-        return self._refusals.refuse(frame, segment, reason, now)
+            return OpeningPlan(wait_seconds=place_at - now)
+        is_early = prospect is Prospect.COME_BACK
+        return OpeningPlan(refusal="come_back" if is_early else "cold")
 
     def _pass_on(
         self,
@@ -312,15 +385,6 @@
         passed = next_forward(frame, visited=visited, service=service)
         return [ToPeer(chosen.host, passed)]
 
-    def _take_anyway(
-        self, frame: Forward, segment: Segment, service: str, now: float
-    ) -> list[PassthroughEffect]:
-        """Admit or queue an opening that no sibling takes though this server fails."""
-        if not self._meter.has_short_flows or self._has_capacity_for_queued(now):
-            return self._admit(frame, segment, now, now)
-        wait = self._expected_wait("busy", now)
-        return self._enqueue(frame, segment, service, "busy", wait, now)
-
     def _choose_sibling(
         self,
         frame: Forward,
@@ -383,9 +447,9 @@
         opening = make_queued(self._state, frame, segment, service, now)
         ahead = self._queue.count_ahead(opening, now)
         if self._is_overloaded(now):
-            reason = self._overload_refusal(opening, ahead, now)
-            if reason is not None:
-                return self._refusals.refuse_unqueued(opening, reason, now)
+            refusal = self._overload_refusal(opening, ahead, now)
+            if refusal is not None:
+                return self._refusals.refuse_unqueued(opening, refusal, now)
         self._state.log_decision(
             "flow_waits",
             segment.flow,
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -22,6 +22,10 @@
 # Largest value of a habit (`placement.flow_habits`).
 MAX_HABIT = 2
 
+# Values of `Forward.offer`: an opening that only this agent has, one that its balancer
+# may offer to a second agent, and one that another agent was offered before.
+SINGLE_OFFER, FIRST_OFFER, SECOND_OFFER = 0, 1, 2
+
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
     """Load of an agent's backend server.
@@ -115,6 +119,9 @@
         receiver does not hold it; empty if the receiver is to search itself.
     habit : int
         Whether the flow will have one request (1) or many (2), if the balancer knows.
+    offer : int
+        Which offer of an opening this is; the balancer decides on the refusal of all
+        but a single one.
     """
 
     origin: str
@@ -126,6 +133,7 @@
     data: bytes
     inquirer: str = ""
     habit: Annotated[int, Meta(ge=0, le=MAX_HABIT)] = 0
+    offer: Annotated[int, Meta(ge=SINGLE_OFFER, le=SECOND_OFFER)] = SINGLE_OFFER
 
 
 class Owned(msgspec.Struct, array_like=True, tag=2):
@@ -293,6 +301,27 @@
     is_answer: bool
 
 
+class Refused(msgspec.Struct, array_like=True, tag=11):
+    """Tell a balancer that an opening which it may offer elsewhere is refused.
+
+    Attributes
+    ----------
+    flow : bytes
+        Key of the flow.
+    acknowledged : int
+        Position for the reset of the caller.
+    offered_to : str
+        IP address of the agent that the balancer had sent the opening to.
+    load : LoadReport
+        Load of the sender's backend server.
+    """
+
+    flow: bytes
+    acknowledged: Annotated[int, Meta(ge=0, lt=1 << 32)]
+    offered_to: str
+    load: LoadReport
+
+
 PeerFrame = (
     Forward
     | Owned
@@ -305,6 +334,7 @@
     | ViewStatus
     | Detour
     | PathProbe
+    | Refused
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -340,4 +370,5 @@
         frame.data,
         inquirer,
         frame.habit,
+        frame.offer,
     )
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -128,6 +128,9 @@
         ]
         node.describe = self._describe_state
         node.follow_board(self._board)
+        node.explain = lambda flow: self._agent.explain(
+            flow, node.settings.node.data_centre, node.now()
+        )
         node.on_settings_reloaded = lambda: self._gate.set_bounds(
             _build_gate_bounds(node)
         )
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -14,6 +14,10 @@
 
 from berylturn.connection.admission.caller_shares import CallerShares
 from berylturn.connection.admission.opening_gate import GateBounds, OpeningGate
+from berylturn.connection.admission.second_offers import (
+    SecondOfferLimits,
+    SecondOffers,
+)
 from berylturn.connection.passthrough import PassthroughAgent
 from berylturn.connection.passthrough_effects import ToBackend, ToCaller, ToPeer
 from berylturn.connection.passthrough_router import PassthroughRouter
@@ -24,6 +28,7 @@
     Load,
     LoadReport,
     Owned,
+    Refused,
     Registered,
 )
 from berylturn.connection.placement.load_board import LoadBoard
@@ -128,6 +133,8 @@
     tells_callers_apart = False
     # Whether the nodes place by `policy = mixed`.
     mixed_placement = False
+    # Second offers are off, as they are without their setting.
+    offer_limits = SecondOfferLimits(0.0, 0.05)
 
     def __init__(
         self, agents: dict[str, tuple[str, str]], balancers: dict[str, str]
@@ -199,6 +206,7 @@
             packets,
             self._log_decision,
             self.mixed_placement,
+            SecondOffers(self.offer_limits, self._log_decision),
         )
         if configured:
             self.configure_balancer(name)
@@ -353,8 +361,8 @@
         frame = effect.frame
         self.frame_counts[type(frame).__name__] += 1
         if effect.host in self.routers:
-            if isinstance(frame, Owned | Load):
-                self.routers[effect.host].on_frame(sender, frame, self.now)
+            if isinstance(frame, Owned | Load | Refused):
+                return self.routers[effect.host].on_frame(sender, frame, self.now)
             return []
         rules = self.agents[effect.host]
         if type(frame) is Load:
