--- a/tests/test_mixed_placement.py
+++ b/tests/test_mixed_placement.py
@@ -37,7 +37,7 @@
 )
 from .passthrough_mesh import SERVICE, SYN, caller_packet, flow_key
 
-SEEDS = (1, 2)
+SEEDS = (1, 2, 3)
 MAX_BUSIEST = 1.45
 # Late requests under the mixed rule as a multiple of those under another one. The tail
 # of the work alone makes some late that no rule can save.
@@ -52,7 +52,7 @@
     """
 
     @params(
-        ("even", (1.0,), 0.5, 600, 0.009),
+        ("even", (1.0,), 0.6, 600, 0.02),
         ("uneven", (0.6, 1.0, 1.6), 0.55, 900, 0.015),
     )
     def test_late_requests(
