Prove no loss of power without a witness of the same data centre

Cause: found by the stateful test with 1,500 random examples of 40 steps in a copy: all agents were killed, all servers of one data centre hung, and the two others lost power. Nobody of the first was heard, so the others' word counted for it, and a flow of a living server was reset. Change: without a witness in its own data centre nothing is proved; with one, the agents of all data centres must agree, two at least.

--- a/src/berylturn/connection/recovery/power_loss.py
+++ b/src/berylturn/connection/recovery/power_loss.py
@@ -9,7 +9,8 @@
 - the agent has had no report of it since the agent's own start, so that it has admitted
   no flow to it either,
 - all other agents of its data centre whose servers have reported started together with
-  them, and they are two at least (else the agents of all data centres count), and
+  them, and they are two at least (with a single one there, the agents of all data
+  centres count; with none, nothing is known of its power), and
 - all these agents and that one started at one time. An agent that is restarted later,
   beside a server that hangs, proves nothing.
 
@@ -113,8 +114,10 @@
             for other, start in witnesses.items()
             if data_centres[other] == data_centres.get(host)
         ]
+        if not near:
+            return False
         heard = near if len(near) >= MIN_WITNESSES else list(witnesses.values())
-        return len(heard) > 0 and all(
+        return len(heard) >= MIN_WITNESSES and all(
             start.started_together
             and abs(start.at - own.at) <= POWER_RETURN_SPAN_SECONDS
             for start in heard
