Tell who searches that the owner has got the packet

Change: the owner answers the one who searches, too. Result: test_search_ends_when_the_owner_gets_the_packet failed before.

--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -302,8 +302,15 @@
         if frame.wants_owner:
             owned = Owned(segment.flow, self._state.load_report(now))
             effects.append(ToPeer(frame.origin, owned))
+        if frame.inquirer:
+            effects.append(self._tell_held(frame.inquirer, segment.flow, now))
         return effects
 
+    def _tell_held(self, inquirer: str, flow: bytes, now: float) -> ToPeer:
+        findings = self._search.prepare_findings(now)
+        findings.held.append((flow, self._state.host))
+        return ToPeer(inquirer, findings)
+
     def _add_discovered(self, segment: Segment, now: float) -> list[PassthroughEffect]:
         flow = self._state.flows.add_discovered(segment, now)
         self._state.gate.add_existing_flow()
@@ -321,9 +328,7 @@
         owned = Owned(segment.flow, self._state.load_report(now))
         effects: list[PassthroughEffect] = [ToPeer(frame.origin, owned)]
         if frame.inquirer:
-            held = self._search.prepare_findings(now)
-            held.held.append((segment.flow, self._state.host))
-            effects.append(ToPeer(frame.inquirer, held))
+            effects.append(self._tell_held(frame.inquirer, segment.flow, now))
         return effects
 
     def _on_returned(self, segment: Segment, now: float) -> list[PassthroughEffect]:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -6,7 +6,7 @@
 
 from nose2.tools import params
 
-from .passthrough_mesh import ACK, FIN, RST, Mesh, caller_packet, flow_key
+from .passthrough_mesh import ACK, FIN, RST, SYN, Mesh, caller_packet, flow_key
 
 AGENTS = {
     **{f"a{n}": ("dc-a", "desk") for n in range(3)},
@@ -94,6 +94,17 @@
         mesh.advance(2.0)
         self.assertFalse(mesh.was_reset(flow))
 
+    def test_search_ends_when_the_owner_gets_the_packet(self) -> None:
+        mesh = Mesh(AGENTS, BALANCERS)
+        for name in AGENTS:
+            mesh.report_load("front-a", name, 0.0 if name == "b1" else 9.0)
+        flow = flow_key(1)
+        mesh.send("front-a", caller_packet(flow, SYN))
+        self.assertIn(flow, mesh.backends["b1"].flows)
+        self.assertTrue(mesh.send_request("front-b", flow, "b1"))
+        mesh.advance(2.5)
+        self.assertEqual([], mesh.events("flow_search_expired"))
+
     def test_no_server_of_a_data_centre_is_heard(self) -> None:
         mesh = Mesh(AGENTS, BALANCERS)
         flow = flow_key(1)
