Let a few late callers wait at a cold server

Cause: an opening that the cold limit admits only after its latency objective was refused at once, since those who come later would be admitted before it. Where hardly anybody comes, callers were refused though there was a place within their attempt. Seen in one of three runs of the daemons' tests beside a load of 17: flow_refused with reason cold for 12 flows at three servers. Change: such an opening waits while so few wait that half of one window of the limit has places for them.

--- a/src/berylturn/connection/admission/cold_start.py
+++ b/src/berylturn/connection/admission/cold_start.py
@@ -57,7 +57,12 @@
 
 
 def judge_opening(
-    opening: QueuedOpening, cold: ColdStart, place_at: float, ahead: int, now: float
+    opening: QueuedOpening,
+    cold: ColdStart,
+    place_at: float,
+    ahead: int,
+    now: float,
+    is_spare: bool = False,
 ) -> Prospect:
     """Return what the caller of an opening with an objective can expect.
 
@@ -73,9 +78,13 @@
         Number of openings that are admitted before it after the cold start.
     now : float
         Seconds on the monotonic clock.
+    is_spare : bool
+        Whether so few wait that one window of the limit has places for them and for
+        those who come meanwhile, so that a late opening takes none from others.
     """
     # Once it is late, those who come after it are admitted before it.
-    if place_at <= min(opening.useful_until, opening.expires_at):
+    needed_at = opening.expires_at if is_spare else opening.useful_until
+    if place_at <= min(needed_at, opening.expires_at):
         return Prospect.PLACE
     after_cold = cold.ends_at + ahead * cold.seconds_per_opening
     if after_cold <= opening.expires_at:
--- a/src/berylturn/connection/admission/opening_gate.py
+++ b/src/berylturn/connection/admission/opening_gate.py
@@ -234,7 +234,7 @@
         now : float
             Seconds on the monotonic clock.
         """
-        limit = self._cold_opening_limit()
+        limit = self.cold_opening_limit
         if limit < 1:
             return self._cold_until
         opens_at = now
@@ -298,7 +298,7 @@
             return seconds_until_due / 2 if seconds_until_due > 0 else None
         if reason == "cold":
             cold_seconds_left = self._cold_until - now
-            allowed = self._cold_opening_limit()
+            allowed = self.cold_opening_limit
             if allowed < 1:
                 return cold_seconds_left
             return min(cold_seconds_left, (ahead + 1) / allowed * COLD_WINDOW_SECONDS)
@@ -347,9 +347,11 @@
         if not self._reports.saw_start and now - self._started < COLD_WINDOW_SECONDS:
             return False
         self._expire_openings(now)
-        return len(self._recent_openings) < self._cold_opening_limit()
+        return len(self._recent_openings) < self.cold_opening_limit
 
-    def _cold_opening_limit(self) -> int:
+    @property
+    def cold_opening_limit(self) -> int:
+        """Return how many openings a second a cold server admits."""
         bounds = self._bounds
         return int(self._limits.cold_rate * bounds.cold_factor + bounds.cold_slack)
 
--- a/src/berylturn/connection/admission/passthrough_openings.py
+++ b/src/berylturn/connection/admission/passthrough_openings.py
@@ -36,6 +36,9 @@
 # Time by which a sibling must be sooner for a busy agent to pass an opening on: the way
 # there, and what its report may have missed.
 PASS_ON_SECONDS = 0.006
+# Share of a cold server's next openings that late callers may wait for; the rest is for
+# those who come until then.
+SPARE_SHARE = 0.5
 # Margin for requests that take longer than the mean, as a multiple of the service time,
 # when an opening is refused because it is not expected to be answered in time.
 SPREAD_FACTOR = 2.0
@@ -270,12 +273,13 @@
         gate, effects = self._state.gate, []
         cold = self._cold_start()
         self._queue.backlog_until = cold.backlog_until(len(self._queue))
+        is_spare = len(self._queue) <= SPARE_SHARE * gate.cold_opening_limit
         for ahead, opening in enumerate(self._queue.ordered(now)):
             if not opening.has_objective:
                 continue
             place_at = gate.next_cold_place(ahead, now)
             # Some of those ahead leave before the end of the cold start.
-            prospect = judge_opening(opening, cold, place_at, 0, now)
+            prospect = judge_opening(opening, cold, place_at, 0, now, is_spare)
             if prospect in (Prospect.COME_BACK, Prospect.NONE):
                 reason = "come_back" if prospect is Prospect.COME_BACK else "late"
                 self._queue.remove(opening)
@@ -347,7 +351,11 @@
         if opening.has_objective:
             ahead = self._queue.count_ahead(opening, now)
             place_at = self._state.gate.next_cold_place(ahead, now)
-            prospect = judge_opening(opening, self._cold_start(), place_at, ahead, now)
+            places = SPARE_SHARE * self._state.gate.cold_opening_limit
+            is_spare = len(self._queue) + 1 <= places
+            prospect = judge_opening(
+                opening, self._cold_start(), place_at, ahead, now, is_spare
+            )
         else:
             place_at = now + self._expected_wait("cold", now)
             fits = place_at <= opening.expires_at
--- a/tests/test_cold_admission.py
+++ b/tests/test_cold_admission.py
@@ -17,14 +17,16 @@
 from berylturn.connection.peer_frames import Forward
 from berylturn.connection.recovery.backend_reports import BackendReport, ProcessStart
 from berylturn.platform import packets
-from berylturn.version.routes import ServiceLimits
+from berylturn.version.routes import Route, RouteTable, ServiceLimits, ServiceShare
 
 from .cold_replay import COLD_LIMIT, SERVERS, ColdReplay
-from .passthrough_mesh import SYN, caller_packet, flow_key
+from .passthrough_mesh import SERVICE, SYN, Mesh, caller_packet, flow_key
 
 REPLAY_SECONDS = 8.0
 SENT_SECONDS = 4.0
 NOW = 100.0
+# Openings a second at a cold server of the mesh: its rate times the factor, and slack.
+MESH_COLD_LIMIT = 8
 
 
 def make_opening(
@@ -120,6 +122,30 @@
         self.assertEqual(backlog < 0, queue.is_congested(NOW))
 
 
+class TestFewCallers(unittest.TestCase):
+    """A cold server serves all callers, if late, where few of them are too many."""
+
+    @params(1, 3, 4)
+    def test_those_beyond_the_limit_wait(self, beyond: int) -> None:
+        # They were refused at once, as a late place might be taken by later callers.
+        mesh = Mesh({"a1": ("dc-a", "desk")}, {"f1": "dc-a"})
+        share = (ServiceShare("desk", 1.0),)
+        limits = {"desk": ServiceLimits(cold_rate=2.0)}
+        mesh.change_table(
+            RouteTable(2, {SERVICE: Route("r", share, 1, 0.2, 1.8)}, limits)
+        )
+        mesh.report("a1", started_ms=6_000, cold_seconds=2.0)
+        for number in range(MESH_COLD_LIMIT + beyond):
+            mesh.send("f1", caller_packet(flow_key(number), SYN))
+        self.assertEqual([], mesh.events("flow_refused"))
+        for _ in range(12):
+            mesh.advance(0.1)
+            mesh.admit_queued("a1")
+        self.assertEqual([], mesh.events("flow_refused"))
+        admitted = len(mesh.events("flow_admitted"))
+        self.assertEqual(MESH_COLD_LIMIT + beyond, admitted)
+
+
 class TestNextPlace(unittest.TestCase):
     """The agent tells when the limit's window has a place, exactly."""
 
