--- a/src/berylturn/connection/admission/passthrough_openings.py
+++ b/src/berylturn/connection/admission/passthrough_openings.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from ...version.owners import AgentEntry, rank_agents
-from ..passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
+from ..passthrough_effects import PassthroughEffect, ToBackend, ToPeer
 from ..passthrough_state import PassthroughState
-from ..peer_frames import Forward, Owned, next_forward
+from ..peer_frames import SECOND_OFFER, Forward, next_forward
+from ..placement.flow_habits import Habit
 from ..placement.load_board import choose_for_opening, choose_soonest
 from ..placement.work_meter import WorkMeter
 from ..recovery.offers import Offers
-from ..segments import Segment
+from ..segments import Segment, caller_address
 from .cold_start import (
     ColdStart,
     Prospect,
@@ -22,6 +25,8 @@
     QueuedOpening,
     remaining_attempt_seconds,
 )
+from .opening_refusals import OpeningRefusals
+from .queued_opening import make_queued
 
 # Bounds the forwarding, so that an opening which no agent admits is answered before
 # the caller retransmits it (after 200 ms).
@@ -31,11 +36,34 @@
 # Time by which a sibling must be sooner for a busy agent to pass an opening on: the way
 # there, and what its report may have missed.
 PASS_ON_SECONDS = 0.006
+# Share of a cold server's next openings that late callers may wait for; the rest is for
+# those who come until then.
+SPARE_SHARE = 0.5
 # Margin for requests that take longer than the mean, as a multiple of the service time,
 # when an opening is refused because it is not expected to be answered in time.
 SPREAD_FACTOR = 2.0
-# Time for an answer from the backend server to its caller.
-RETURN_SECONDS = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class OpeningPlan:
+    """What to do with an opening that is not admitted at once.
+
+    Attributes
+    ----------
+    sibling : AgentEntry or None
+        Agent that it is passed on to.
+    wait_seconds : float or None
+        How long it is expected to wait here.
+    admits : bool
+        Whether it is admitted in spite of the obstacle.
+    refusal : str or None
+        Why it is refused.
+    """
+
+    sibling: AgentEntry | None = None
+    wait_seconds: float | None = None
+    admits: bool = False
+    refusal: str | None = None
 
 
 class OpeningHandler:
@@ -53,6 +81,7 @@
         self._state = state
         self._offers = offers
         self._queue = state.queue
+        self._refusals = OpeningRefusals(state)
 
     @property
     def _meter(self) -> WorkMeter:
@@ -64,17 +93,74 @@
         """Handle an opening of a flow that is not in the flow table."""
         if segment.flow in self._queue:
             return []
+        self._state.learn_habit(frame, segment.flow)
         service = self._state.service_of(frame, segment)
         if service is None:
-            return self._refuse(frame, segment, "no_route", now)
+            return self._refusals.refuse(frame, segment, "no_route", now)
+        if self._state.shares is not None:
+            self._state.shares.record(caller_address(segment.flow), now)
+        reason = self.find_obstacle(segment, service, now)
+        if frame.offer == SECOND_OFFER and (reason or self._state.gate.is_cold(now)):
+            return self._refusals.refuse(frame, segment, reason or "cold", now)
+        if reason is not None:
+            return self._forward_to_sibling(frame, segment, service, reason, now)
+        self._refusals.charge(segment, 1.0, now)
+        return self._admit(frame, segment, now, now)
+
+    def find_obstacle(self, segment: Segment, service: str, now: float) -> str | None:
+        """Return the reason why an opening is not admitted at once, or None."""
         reason = self._state.gate.refusal(service, now)
         if self._state.stopping and reason is None:
             reason = "stopping"
+        if reason is None and self._is_held_back(segment, now):
+            reason = "ejected"
         if reason is None and self._is_busy(now):
             reason = "busy"
-        if reason is not None:
-            return self._forward_to_sibling(frame, segment, service, reason, now)
-        return self._admit(frame, segment, now, now)
+        return reason
+
+    def plan_elsewhere(
+        self, frame: Forward, segment: Segment, service: str, reason: str, now: float
+    ) -> OpeningPlan:
+        """Return what to do with an opening that is not admitted at once.
+
+        Parameters
+        ----------
+        frame, segment : Forward, Segment
+            The opening.
+        service : str
+            Its service.
+        reason : str
+            What `find_obstacle` returned.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        if reason == "cold":
+            return self._plan_while_cold(frame, segment, service, now)
+        if reason == "busy":
+            chosen = self._choose_sooner_sibling(frame, segment, service, now)
+        else:
+            chosen = self._choose_sibling(frame, segment, service, True, now)
+        if chosen is not None:
+            return OpeningPlan(sibling=chosen)
+        wait = self._expected_wait(reason, now)
+        if wait is not None and wait <= remaining_attempt_seconds(segment):
+            return OpeningPlan(wait_seconds=wait)
+        if reason != "ejected":
+            return OpeningPlan(refusal=reason)
+        # No sibling takes it though this server fails.
+        if not self._meter.has_short_flows or self._has_capacity_for_queued(now):
+            return OpeningPlan(admits=True)
+        return OpeningPlan(wait_seconds=self._expected_wait("busy", now))
+
+    def find_overload(
+        self, frame: Forward, segment: Segment, service: str, now: float
+    ) -> str | None:
+        """Return why an opening is refused rather than queued, or None."""
+        if not self._is_overloaded(now):
+            return None
+        opening = make_queued(self._state, frame, segment, service, now)
+        ahead = self._queue.count_ahead(opening, now)
+        return self._overload_refusal(opening, ahead, now)
 
     def handle_returned(
         self, frame: Forward, segment: Segment, now: float
@@ -82,22 +168,26 @@
         """Forward, queue or refuse an opening that the backend server returned."""
         service = self._state.service_of(frame, segment)
         if service is None:
-            return self._refuse(frame, segment, "no_route", now)
+            return self._refusals.refuse(frame, segment, "no_route", now)
+        if frame.offer == SECOND_OFFER:
+            return self._refusals.refuse(frame, segment, "backend_refused", now)
         return self._forward_to_sibling(frame, segment, service, "backend_refused", now)
 
     def admit_queued(self, now: float) -> list[PassthroughEffect]:
         """Admit queued openings while there is capacity, and refuse expired ones."""
         effects: list[PassthroughEffect] = []
         for opening in self._queue.pop_expired(now):
-            effects += self._refuse(opening.frame, opening.segment, "waited", now)
+            effects += self._refusals.refuse_queued(opening, "waited", now)
         if self._is_overloaded(now):
             for opening in self._queue.pop_late(now):
-                effects += self._refuse(opening.frame, opening.segment, "late", now)
+                effects += self._refusals.refuse_queued(opening, "late", now)
         elif self._state.gate.is_cold(now):
             effects += self._end_hopeless(now)
         while self._queue and self._has_capacity_for_queued(now):
             opening = self._queue.peek(now)
             reason = self._state.gate.refusal(opening.service, now)
+            if reason is None and self._is_held_back(opening.segment, now):
+                reason = "ejected"
             if reason is None:
                 self._queue.remove(opening)
                 effects += self._admit(
@@ -118,7 +208,20 @@
         while self._queue:
             opening = self._queue.peek(now)
             self._queue.remove(opening)
-            effects += self._refuse(opening.frame, opening.segment, "stopping", now)
+            effects += self._refusals.refuse_queued(opening, "stopping", now)
+        return effects
+
+    def pass_on_queued(self, now: float) -> list[PassthroughEffect]:
+        """Pass all queued openings on to siblings, as the server now fails."""
+        queued = []
+        while self._queue:
+            queued.append(self._queue.peek(now))
+            self._queue.remove(queued[-1])
+        effects: list[PassthroughEffect] = []
+        for opening in queued:
+            effects += self._forward_to_sibling(
+                opening.frame, opening.segment, opening.service, "ejected", now
+            )
         return effects
 
     def _has_capacity_for_queued(self, now: float) -> bool:
@@ -136,6 +239,11 @@
         )
         return self._state.expected_requests(now) < limit
 
+    def _is_held_back(self, segment: Segment, now: float) -> bool:
+        """Tell whether an opening is to go to a sibling, as this server fails."""
+        route = self._state.table.route_of(segment.flow)
+        return self._state.outliers.holds_back(route.repeatable, now)
+
     def _is_busy(self, now: float) -> bool:
         """Tell whether one more request would only wait in the server.
 
@@ -165,16 +273,17 @@
         gate, effects = self._state.gate, []
         cold = self._cold_start()
         self._queue.backlog_until = cold.backlog_until(len(self._queue))
+        is_spare = len(self._queue) <= SPARE_SHARE * gate.cold_opening_limit
         for ahead, opening in enumerate(self._queue.ordered(now)):
             if not opening.has_objective:
                 continue
             place_at = gate.next_cold_place(ahead, now)
             # Some of those ahead leave before the end of the cold start.
-            prospect = judge_opening(opening, cold, place_at, 0, now)
+            prospect = judge_opening(opening, cold, place_at, 0, now, is_spare)
             if prospect in (Prospect.COME_BACK, Prospect.NONE):
                 reason = "come_back" if prospect is Prospect.COME_BACK else "late"
                 self._queue.remove(opening)
-                effects += self._refuse(opening.frame, opening.segment, reason, now)
+                effects += self._refusals.refuse_queued(opening, reason, now)
         return effects
 
     def _cold_start(self) -> ColdStart:
@@ -192,6 +301,7 @@
         self._offers.forget_returned(segment.flow)
         self._state.flows.admit(segment, now)
         self._state.gate.admit(segment.flow, now)
+        self._state.outliers.record_opening(now)
         self._state.log_decision(
             "flow_admitted",
             segment.flow,
@@ -209,7 +319,7 @@
         )
         return [
             ToBackend(tagged),
-            ToPeer(frame.origin, Owned(segment.flow, self._state.load_report(now))),
+            ToPeer(frame.origin, self._state.announce(segment.flow, now)),
         ]
 
     def _forward_to_sibling(
@@ -220,29 +330,32 @@
         reason: str,
         now: float,
     ) -> list[PassthroughEffect]:
-        is_cold = reason == "cold"
-        if reason == "busy":
-            chosen = self._choose_sooner_sibling(frame, segment, service, now)
-        else:
-            chosen = self._choose_sibling(frame, segment, service, not is_cold, now)
-        if chosen is None and is_cold:
-            return self._wait_while_cold(frame, segment, service, now)
-        if chosen is None:
-            wait = self._expected_wait(reason, now)
-            if wait is not None and wait <= remaining_attempt_seconds(segment):
-                return self._enqueue(frame, segment, service, reason, wait, now)
-            return self._refuse(frame, segment, reason, now)
-        return self._pass_on(frame, segment, service, reason, chosen, now)
-
-    def _wait_while_cold(
+        plan = self.plan_elsewhere(frame, segment, service, reason, now)
+        if plan.sibling is not None:
+            return self._pass_on(frame, segment, service, reason, plan.sibling, now)
+        if plan.admits:
+            return self._admit(frame, segment, now, now)
+        if plan.wait_seconds is None:
+            return self._refusals.refuse(frame, segment, plan.refusal or reason, now)
+        cause = "busy" if reason == "ejected" else reason
+        return self._enqueue(frame, segment, service, cause, plan.wait_seconds, now)
+
+    def _plan_while_cold(
         self, frame: Forward, segment: Segment, service: str, now: float
-    ) -> list[PassthroughEffect]:
-        """Queue, pass on or refuse an opening that the cold limit does not admit."""
-        opening = self._make_queued(frame, segment, service, now)
+    ) -> OpeningPlan:
+        """Return what to do with an opening that the cold limit does not admit."""
+        chosen = self._choose_sibling(frame, segment, service, False, now)
+        if chosen is not None:
+            return OpeningPlan(sibling=chosen)
+        opening = make_queued(self._state, frame, segment, service, now)
         if opening.has_objective:
             ahead = self._queue.count_ahead(opening, now)
             place_at = self._state.gate.next_cold_place(ahead, now)
-            prospect = judge_opening(opening, self._cold_start(), place_at, ahead, now)
+            places = SPARE_SHARE * self._state.gate.cold_opening_limit
+            is_spare = len(self._queue) + 1 <= places
+            prospect = judge_opening(
+                opening, self._cold_start(), place_at, ahead, now, is_spare
+            )
         else:
             place_at = now + self._expected_wait("cold", now)
             fits = place_at <= opening.expires_at
@@ -250,12 +363,11 @@
         if prospect is not Prospect.PLACE:
             chosen = self._choose_sibling(frame, segment, service, True, now)
             if chosen is not None:
-                return self._pass_on(frame, segment, service, "cold", chosen, now)
+                return OpeningPlan(sibling=chosen)
         if prospect in (Prospect.PLACE, Prospect.NEXT_ATTEMPT):
-            wait = place_at - now
-            return self._enqueue(frame, segment, service, "cold", wait, now)
-        reason = "come_back" if prospect is Prospect.COME_BACK else "cold"
-        return self._refuse(frame, segment, reason, now)
+            return OpeningPlan(wait_seconds=place_at - now)
+        is_early = prospect is Prospect.COME_BACK
+        return OpeningPlan(refusal="come_back" if is_early else "cold")
 
     def _pass_on(
         self,
@@ -266,7 +378,8 @@
         chosen: AgentEntry,
         now: float,
     ) -> list[PassthroughEffect]:
-        self._state.board.record_opening(chosen.host)
+        is_feed = self._state.learn_habit(frame, segment.flow) is Habit.LONG
+        self._state.board.record_opening(chosen.host, is_feed)
         self._state.board.expect_answer(chosen.host, now)
         visited = [*frame.visited, self._state.host]
         self._state.log_decision(
@@ -294,8 +407,9 @@
             return None
         ranked = self._rank_agents(frame, segment, service)
         board = self._state.board
+        habit = self._state.learn_habit(frame, segment.flow)
         return choose_for_opening(
-            ranked, frame.data_centre, board, visited, now, allow_remote_cold
+            ranked, frame.data_centre, board, visited, now, allow_remote_cold, habit
         )
 
     def _choose_sooner_sibling(
@@ -338,13 +452,12 @@
         expected: float,
         now: float,
     ) -> list[PassthroughEffect]:
-        opening = self._make_queued(frame, segment, service, now)
+        opening = make_queued(self._state, frame, segment, service, now)
         ahead = self._queue.count_ahead(opening, now)
         if self._is_overloaded(now):
-            margin = SPREAD_FACTOR * self._meter.expected_service_seconds
-            admitted_at = now + ahead * self._meter.seconds_per_request
-            if admitted_at + margin > opening.useful_until:
-                return self._refuse(frame, segment, "overloaded", now)
+            refusal = self._overload_refusal(opening, ahead, now)
+            if refusal is not None:
+                return self._refusals.refuse_unqueued(opening, refusal, now)
         self._state.log_decision(
             "flow_waits",
             segment.flow,
@@ -353,13 +466,28 @@
             ahead=ahead,
         )
         effects: list[PassthroughEffect] = [
-            ToPeer(frame.origin, Owned(segment.flow, self._state.load_report(now)))
+            ToPeer(frame.origin, self._state.announce(segment.flow, now))
         ]
         self._queue.add(opening)
+        self._refusals.charge(opening.segment, 1.0, now)
         for excess in self._queue.pop_excess(self._queue_limit(reason), now):
-            effects += self._refuse(excess.frame, excess.segment, "queue_full", now)
+            effects += self._refusals.refuse_queued(excess, "queue_full", now)
         return effects
 
+    def _overload_refusal(
+        self, opening: QueuedOpening, ahead: int, now: float
+    ) -> str | None:
+        """Return why an opening is not queued while more come than can be served.
+
+        A caller that is ahead of its share would take the place of one that comes
+        next, or wait until it is late.
+        """
+        if opening.lead_seconds > 0:
+            return "over_share"
+        margin = SPREAD_FACTOR * self._meter.expected_service_seconds
+        admitted_at = now + ahead * self._meter.seconds_per_request
+        return "overloaded" if admitted_at + margin > opening.useful_until else None
+
     def _queue_limit(self, reason: str) -> int:
         """Return how many openings can be admitted within their callers' attempts."""
         if reason != "busy":
@@ -367,40 +495,3 @@
         return int(
             (ATTEMPT_SECONDS - TRANSIT_SECONDS) / self._meter.seconds_per_request
         )
-
-    def _make_queued(
-        self, frame: Forward, segment: Segment, service: str, now: float
-    ) -> QueuedOpening:
-        route = self._state.table.route_of(segment.flow)
-        meter = self._meter
-        first_sent_at = now - segment.opening_age
-        # After the admission, the request arrives, waits for those before it in the
-        # server and is processed.
-        in_server = (meter.limit - 1) * meter.seconds_per_request
-        in_server += meter.expected_service_seconds
-        remaining = meter.gap_seconds + in_server + RETURN_SECONDS
-        attempt_ends_at = now + remaining_attempt_seconds(segment)
-        request_ends_at = first_sent_at + route.timeout_seconds - remaining
-        return QueuedOpening(
-            frame,
-            segment,
-            service,
-            now,
-            route.priority,
-            first_sent_at + route.aim_seconds - remaining,
-            min(attempt_ends_at, request_ends_at),
-            request_ends_at,
-        )
-
-    def _refuse(
-        self, frame: Forward, segment: Segment, reason: str, now: float
-    ) -> list[PassthroughEffect]:
-        self._state.log_decision(
-            "flow_refused",
-            segment.flow,
-            reason=reason,
-            hops=len(frame.visited),
-            version=self._state.table.version,
-            report_age=now - self._state.gate.reported_at,
-        )
-        return [reset_caller(self._state.codec, segment.flow, segment.acknowledged)]
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -12,9 +12,11 @@
 from ..version.agent_directory import DirectoryTrust
 from ..version.owners import AgentEntry
 from ..version.routes import RouteTable
+from .admission.caller_shares import CallerShares
 from .admission.opening_gate import OpeningGate
 from .admission.passthrough_openings import OpeningHandler
 from .flow_table import FlowState, FlowTable, PassthroughFlow
+from .opening_forecast import explain_at_agent
 from .passthrough_effects import (
     LogDecision,
     PassthroughEffect,
@@ -25,7 +27,11 @@
 )
 from .passthrough_state import PassthroughState
 from .peer_frames import Findings, Forward, Load, LoadReport, Owned, Registered
+from .placement.flow_watch import FlowWatch
 from .placement.load_board import LoadBoard
+from .placement.outlier_watch import OutlierWatch
+from .placement.outliers import UNJUDGED, OutlierRules, Standing
+from .placement.server_review import ServerReview
 from .recovery.backend_reports import BackendReport, ProcessStart
 from .recovery.flow_locations import FlowLocations
 from .recovery.flow_search import FlowSearch
@@ -58,6 +64,12 @@
         clock.
     process : ProcessStart
         Start of this process.
+    outlier_rules : OutlierRules
+        Whether and how the backend server is judged by what it does with its flows.
+    shares : CallerShares or None
+        Shares of callers while openings wait; None if callers are not told apart.
+    mixed_placement : bool
+        Whether long flows and flows of one request on the same servers are told apart.
     """
 
     def __init__(
@@ -70,14 +82,30 @@
         observe: Callable[[float], None],
         directory_trust: Callable[[float], DirectoryTrust],
         process: ProcessStart,
+        outlier_rules: OutlierRules = UNJUDGED,
+        shares: CallerShares | None = None,
+        mixed_placement: bool = False,
     ) -> None:
-        flows = FlowTable(gate.end_flow, observe)
+        watch = FlowWatch() if mixed_placement else None
+        flows = FlowTable(gate.end_flow, observe, watch)
+        outliers = OutlierWatch(host, outlier_rules, flows, board, log_decision)
         self._state = PassthroughState(
-            host, gate, board, flows, codec, log_decision, directory_trust, process
+            host,
+            gate,
+            board,
+            flows,
+            codec,
+            log_decision,
+            directory_trust,
+            process,
+            outliers,
+            watch=watch,
+            shares=shares,
         )
         self._locations = FlowLocations(host)
         self._offers = Offers()
         self._openings = OpeningHandler(self._state, self._offers)
+        self._review = ServerReview(self._state, self._openings.pass_on_queued)
         self._search = FlowSearch(self._state, self._offers, self._locations)
 
     @property
@@ -95,16 +123,45 @@
         """Tell whether most flows of the backend server have a single request."""
         return self._state.flows.meter.has_short_flows
 
+    @property
+    def open_feeds(self) -> int | None:
+        """Return the number of open feeds, or None for plain placement."""
+        watch = self._state.watch
+        return watch.pledges.open_feeds if watch is not None else None
+
     @property
     def queued(self) -> int:
         """Return the number of queued openings."""
         return len(self._state.queue)
 
+    @property
+    def standing(self) -> Standing:
+        """Return the standing of the backend server in placement."""
+        return self._state.outliers.standing
+
+    @property
+    def is_ejected(self) -> bool:
+        """Tell whether the backend server gets no new flows because it fails them."""
+        outliers = self._state.outliers
+        return outliers.enforced and outliers.standing is Standing.EJECTED
+
+    @property
+    def failed_share(self) -> float:
+        """Return the share of the recent requests that the backend server failed."""
+        return self._state.outliers.failed_share
+
     @property
     def registered(self) -> int:
         """Return the number of flows of other agents that are registered here."""
         return len(self._locations)
 
+    def callers_ahead(self, now: float) -> int:
+        """Return the number of callers that are ahead of their share."""
+        shares = self._state.shares
+        if shares is None:
+            return 0
+        return shares.count_ahead(self._state.flows.meter.seconds_per_request, now)
+
     def set_newest(self, newest: list[int]) -> None:
         """Set the newest revision of each kind of object, for load reports."""
         self._state.newest = newest
@@ -114,14 +171,26 @@
         self._state.flows.meter.set_slots(slots)
 
     def stop(self, now: float) -> list[PassthroughEffect]:
-        """Stop admitting openings and refuse the queued ones."""
+        """Stop admitting openings and refuse the queued ones.
+
+        Agents that search for flows are told if none can be held here.
+        """
         self._state.stopping = True
-        return self._openings.refuse_queued(now)
+        effects = self._openings.refuse_queued(now)
+        if self.has_lost_server(now):
+            effects += self._search.tell_of_stop(now)
+        return effects
 
     def admit_queued(self, now: float) -> list[PassthroughEffect]:
         """Admit queued openings while there is capacity, and refuse expired ones."""
         return self._openings.admit_queued(now)
 
+    def explain(self, flow: bytes, data_centre: str, now: float) -> dict[str, object]:
+        """Return what the agent would do with an opening now, without doing it."""
+        return explain_at_agent(
+            self._state, self._openings, self._locations, data_centre, flow, now
+        )
+
     def load_report(self, now: float) -> LoadReport:
         """Return the load report for siblings and balancers."""
         return self._state.load_report(now)
@@ -129,6 +198,8 @@
     def set_table(self, table: RouteTable) -> None:
         """Replace the route table by a newer version."""
         self._state.table = table
+        if self._state.watch is not None:
+            self._state.watch.habits.keep_only(table)
         self._register_all()
 
     def set_agents(
@@ -172,6 +243,7 @@
         else:
             self._state.flows.record_backend_packet(segment, flow, now)
         effects.append(ToCaller(caller_host(segment.flow), segment.data))
+        effects += self._review.on_backend_packet(now)
         if self._state.queue and (segment.size or segment.closing):
             effects += self._openings.admit_queued(now)
         return effects
@@ -180,9 +252,12 @@
         """Record the owner of flows that have this agent first in their order."""
         self._locations.record_owner(host, flows, now)
 
-    def on_backend_report(self, report: BackendReport) -> None:
-        """Record that the backend server has reported."""
+    def on_backend_report(
+        self, report: BackendReport, now: float
+    ) -> list[PassthroughEffect]:
+        """Record that the backend server has reported, after the gate has."""
         self._state.signs.record_report(report)
+        return self._search.answer_offers(now)
 
     def has_lost_server(self, now: float) -> bool:
         """Tell whether the backend server beside this agent holds no open flow."""
@@ -204,6 +279,10 @@
         """
         return self._search.has_lost_power(host, now)
 
+    def forget_outcomes(self, now: float) -> None:
+        """Forget what the backend server did before it restarted."""
+        self._state.outliers.forget(now)
+
     def on_backend_restarted(self) -> list[PassthroughEffect]:
         """Resend the newest packet of each open flow, to find the lost flows."""
         return [
@@ -246,6 +325,11 @@
         """Tell whether owners of flows are being searched for."""
         return self._search.is_searching
 
+    @property
+    def searches(self) -> int:
+        """Return the number of flows whose owners are being searched for."""
+        return self._search.count
+
     def continue_searches(self, now: float) -> list[PassthroughEffect]:
         """Ask silent agents again, and go on without those that do not answer."""
         return self._search.continue_searches(now)
@@ -260,6 +344,14 @@
         registrations = self._locations.pop_remote_registrations(self._is_open)
         return _batch_registrations(registrations)
 
+    def on_ejected_sibling(self, now: float) -> list[PassthroughEffect]:
+        """Check at once whether too many servers are left out, this one included."""
+        return self._review.on_ejected_sibling(now)
+
+    def judge_server(self, now: float) -> list[PassthroughEffect]:
+        """Judge the backend server by what it has done with its flows so far."""
+        return self._review.judge(now)
+
     def _is_open(self, key: bytes) -> bool:
         flow = self._state.flows.get(key)
         return flow is not None and flow.state is FlowState.OPEN
@@ -284,12 +376,23 @@
         self._state.flows.record_caller_packet(segment, flow, now)
         if not segment.opening and (not flow.registered_with or frame.visited):
             self._register(segment.flow, flow, force=bool(frame.visited))
+        if segment.opening:
+            self._state.log_decision(
+                "opening_repeated", segment.flow, hops=len(frame.visited)
+            )
         effects: list[PassthroughEffect] = [ToBackend(segment.data)]
         if frame.wants_owner:
-            owned = Owned(segment.flow, self._state.load_report(now))
+            owned = self._state.announce(segment.flow, now)
             effects.append(ToPeer(frame.origin, owned))
+        if frame.inquirer:
+            effects.append(self._tell_held(frame.inquirer, segment.flow, now))
         return effects
 
+    def _tell_held(self, inquirer: str, flow: bytes, now: float) -> ToPeer:
+        findings = self._search.prepare_findings(now)
+        findings.held.append((flow, self._state.host))
+        return ToPeer(inquirer, findings)
+
     def _add_discovered(self, segment: Segment, now: float) -> list[PassthroughEffect]:
         flow = self._state.flows.add_discovered(segment, now)
         self._state.gate.add_existing_flow()
@@ -304,11 +407,10 @@
             self._register(segment.flow, flow)
         if frame is None:
             return []
-        owned = Owned(segment.flow, self._state.load_report(now))
+        owned = self._state.announce(segment.flow, now)
         effects: list[PassthroughEffect] = [ToPeer(frame.origin, owned)]
         if frame.inquirer:
-            held = Findings([(segment.flow, self._state.host)], [], [])
-            effects.append(ToPeer(frame.inquirer, held))
+            effects.append(self._tell_held(frame.inquirer, segment.flow, now))
         return effects
 
     def _on_returned(self, segment: Segment, now: float) -> list[PassthroughEffect]:
@@ -324,6 +426,7 @@
             return self._search.on_not_held(frame, original, now)
         if flow is not None and flow.state is FlowState.HALF_OPEN:
             self._state.flows.drop(segment.flow)
+        self._state.outliers.record_returned(now)
         return self._openings.handle_returned(frame, original, now)
 
     def _on_flow_lost(
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -17,6 +17,14 @@
 
 # Upper bound of the requests and slots of one server that a report may state.
 MAX_REQUESTS = 1_000_000
+# Upper bound of the load of one flow that a report may state: 1,000 slots.
+MAX_FEED_LOAD = 1_000_000_000
+# Largest value of a habit (`placement.flow_habits`).
+MAX_HABIT = 2
+
+# Values of `Forward.offer`: an opening that only this agent has, one that its balancer
+# may offer to a second agent, and one that another agent was offered before.
+SINGLE_OFFER, FIRST_OFFER, SECOND_OFFER = 0, 1, 2
 
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
@@ -56,6 +64,14 @@
         Milliseconds that an opening queued now is expected to wait for its admission.
     pledged : float
         Mean number of slots that the requests of the open flows occupy.
+    failed_percent : int
+        Percentage of the recent requests that the server failed.
+    answer_age_ms : int or None
+        Milliseconds since the server's newest answer; None without a recent one.
+    feed_load : int
+        Millionths of a slot that the requests of one more long flow will occupy.
+    mixed : bool
+        Whether the server gets long flows beside flows of one request, and both count.
     """
 
     accepting: bool
@@ -73,6 +89,10 @@
     ejected_ms: Annotated[float, Meta(ge=0)] = 0.0
     wait_ms: Annotated[float, Meta(ge=0)] = 0.0
     pledged: Annotated[float, Meta(ge=0, le=MAX_REQUESTS)] = 0.0
+    failed_percent: Annotated[int, Meta(ge=0, le=100)] = 0
+    answer_age_ms: Annotated[int, Meta(ge=0)] | None = None
+    feed_load: Annotated[int, Meta(ge=0, le=MAX_FEED_LOAD)] = 0
+    mixed: bool = False
 
 
 class Forward(msgspec.Struct, array_like=True, tag=1):
@@ -97,6 +117,11 @@
     inquirer : str
         IP address of the agent that searches for the flow, to be answered if the
         receiver does not hold it; empty if the receiver is to search itself.
+    habit : int
+        Whether the flow will have one request (1) or many (2), if the balancer knows.
+    offer : int
+        Which offer of an opening this is; the balancer decides on the refusal of all
+        but a single one.
     """
 
     origin: str
@@ -107,13 +132,26 @@
     wants_owner: bool
     data: bytes
     inquirer: str = ""
+    habit: Annotated[int, Meta(ge=0, le=MAX_HABIT)] = 0
+    offer: Annotated[int, Meta(ge=SINGLE_OFFER, le=SECOND_OFFER)] = SINGLE_OFFER
 
 
 class Owned(msgspec.Struct, array_like=True, tag=2):
-    """Tell a balancer that the sender owns a flow."""
+    """Tell a balancer that the sender owns a flow.
+
+    Attributes
+    ----------
+    flow : bytes
+        Key of the flow.
+    load : LoadReport
+        Load of the sender's server.
+    habit : int
+        Whether flows of its route have one request (1) or many (2), if known.
+    """
 
     flow: bytes
     load: LoadReport
+    habit: Annotated[int, Meta(ge=0, le=MAX_HABIT)] = 0
 
 
 class Registered(msgspec.Struct, array_like=True, tag=3):
@@ -123,9 +161,18 @@
 
 
 class Load(msgspec.Struct, array_like=True, tag=4):
-    """Report the load of the sender's backend server to siblings and balancers."""
+    """Report the load of the sender's backend server to siblings and balancers.
+
+    Attributes
+    ----------
+    load : LoadReport
+        The report.
+    is_answer : bool
+        Whether it answers a frame of the receiver.
+    """
 
     load: LoadReport
+    is_answer: bool = True
 
 
 class Probe(msgspec.Struct, array_like=True, tag=5):
@@ -181,6 +228,8 @@
         Whether the backend server has reported to the sender since then.
     started_later : bool
         Whether the backend server started long after the sender.
+    stopping : bool
+        Whether the sender ends now, beside a server that holds no open flow.
     """
 
     held: list[tuple[bytes, str]]
@@ -191,6 +240,7 @@
     process_seconds: Annotated[float, Meta(ge=0)] = 0.0
     has_reported: bool = True
     started_later: bool = False
+    stopping: bool = False
 
 
 class ViewInquiry(msgspec.Struct, array_like=True, tag=8):
@@ -251,6 +301,27 @@
     is_answer: bool
 
 
+class Refused(msgspec.Struct, array_like=True, tag=11):
+    """Tell a balancer that an opening which it may offer elsewhere is refused.
+
+    Attributes
+    ----------
+    flow : bytes
+        Key of the flow.
+    acknowledged : int
+        Position for the reset of the caller.
+    offered_to : str
+        IP address of the agent that the balancer had sent the opening to.
+    load : LoadReport
+        Load of the sender's backend server.
+    """
+
+    flow: bytes
+    acknowledged: Annotated[int, Meta(ge=0, lt=1 << 32)]
+    offered_to: str
+    load: LoadReport
+
+
 PeerFrame = (
     Forward
     | Owned
@@ -263,6 +334,7 @@
     | ViewStatus
     | Detour
     | PathProbe
+    | Refused
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -297,4 +369,6 @@
         True,
         frame.data,
         inquirer,
+        frame.habit,
+        frame.offer,
     )
--- a/src/berylturn/connection/placement/load_board.py
+++ b/src/berylturn/connection/placement/load_board.py
@@ -22,28 +22,35 @@
 
 from ...version.owners import AgentEntry
 from ..peer_frames import LoadReport
+from .flow_habits import Habit
+from .mixed_choice import REMOTE_SECONDS, choose_mixed, is_mixed
 from .work_meter import DEFAULT_SERVICE_SECONDS
 
 # Reports arrive twice a second; a report expires when four successors are missing.
 REPORT_TTL_SECONDS = 2.0
 # An answer between nodes takes milliseconds; the rest allows for slow nodes.
 ANSWER_TIMEOUT_SECONDS = 0.15
+# Questions without an answer, and the time for that, from which frames to a host count
+# as lost although its reports arrive: a link may be cut one way.
+MIN_UNANSWERED = 3
+UNANSWERED_SECONDS = 0.5
 # Share of busy slots from which a server is chosen only if all others are as busy.
 FULL_PRESSURE = 0.6
 # Estimated share of a slot that a new flow uses, until the next report includes it.
 BUSY_PER_OPENING = 0.15
 
-# Time by which a server in another data centre must be sooner to be chosen: the way
-# there and back, and its cost.
-REMOTE_SECONDS = 0.01
-
 
 @dataclass(slots=True)
 class _Peer:
     report: LoadReport | None = None
     reported_at: float = 0.0
     openings_since_report: int = 0
+    feeds_since_report: int = 0
     awaiting_answer_since: float | None = None
+    # Questions that got no answer; a report sent by itself is none.
+    unanswered: int = 0
+    unanswered_since: float = 0.0
+    ejected_until: float = 0.0
 
 
 class LoadBoard:
@@ -54,14 +61,31 @@
         # Returns the hosts that only a detour reaches; they get no new flows.
         self.list_detoured: Callable[[], Collection[str]] = tuple
 
-    def record_report(self, host: str, report: LoadReport | None, now: float) -> None:
-        """Record that an agent is alive, and its load report if there is one."""
+    def record_report(
+        self, host: str, report: LoadReport | None, now: float, is_answer: bool = True
+    ) -> None:
+        """Record that an agent is alive, and its load report if there is one.
+
+        Parameters
+        ----------
+        host : str
+            IP address of the agent.
+        report : LoadReport or None
+            Its load report.
+        now : float
+            Seconds on the monotonic clock.
+        is_answer : bool
+            Whether it answers a frame, so that frames to the agent arrive.
+        """
         peer = self._peers.setdefault(host, _Peer())
         peer.awaiting_answer_since = None
+        if is_answer:
+            peer.unanswered = 0
         if report is not None:
             peer.report = report
             peer.reported_at = now
-            peer.openings_since_report = 0
+            peer.openings_since_report = peer.feeds_since_report = 0
+            peer.ejected_until = now + report.ejected_ms / 1000
 
     def record_alive(self, host: str, now: float) -> None:
         """Record that an agent has answered, without a load report."""
@@ -72,10 +96,25 @@
         peer = self._peers.setdefault(host, _Peer())
         if peer.awaiting_answer_since is None:
             peer.awaiting_answer_since = now
+        if not peer.unanswered:
+            peer.unanswered_since = now
+        peer.unanswered += 1
 
-    def record_opening(self, host: str) -> None:
+    def record_opening(self, host: str, is_feed: bool = False) -> None:
         """Record that an opening was sent to an agent."""
-        self._peers.setdefault(host, _Peer()).openings_since_report += 1
+        peer = self._peers.setdefault(host, _Peer())
+        peer.openings_since_report += 1
+        peer.feeds_since_report += is_feed
+
+    def pending_openings(self, host: str) -> int:
+        """Return the openings sent to an agent since its last report."""
+        peer = self._peers.get(host)
+        return peer.openings_since_report if peer is not None else 0
+
+    def pending_feeds(self, host: str) -> int:
+        """Return the openings of long flows sent to an agent since its last report."""
+        peer = self._peers.get(host)
+        return peer.feeds_since_report if peer is not None else 0
 
     def keep_only(self, hosts: Collection[str]) -> None:
         """Remove agents that are no longer in the directory."""
@@ -98,6 +137,32 @@
             return 0.0
         return now - peer.awaiting_answer_since
 
+    def is_overdue(self, host: str, now: float) -> bool:
+        """Tell whether frames to an agent seem not to arrive, or not its answers."""
+        return self.is_suspect(host, now) or self._is_unanswered(
+            host, UNANSWERED_SECONDS, now
+        )
+
+    def list_silent(self, seconds: float, now: float) -> list[str]:
+        """Return the hosts that have answered nothing for some time.
+
+        Parameters
+        ----------
+        seconds : float
+            How long answers have been awaited.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        return [h for h in self._peers if self._is_unanswered(h, seconds, now)]
+
+    def _is_unanswered(self, host: str, seconds: float, now: float) -> bool:
+        peer = self._peers.get(host)
+        return (
+            peer is not None
+            and peer.unanswered >= MIN_UNANSWERED
+            and now - peer.unanswered_since > seconds
+        )
+
     def fresh_report(self, host: str, now: float) -> LoadReport | None:
         """Return an agent's report, or None if there is none or it has expired."""
         peer = self._peers.get(host)
@@ -131,6 +196,27 @@
         report = self.fresh_report(host, now)
         return report is None or (report.accepting and not report.stopping)
 
+    def reported_at(self, host: str) -> float | None:
+        """Return when an agent's newest report arrived, or None without one."""
+        peer = self._peers.get(host)
+        return None if peer is None or peer.report is None else peer.reported_at
+
+    def is_ejected(self, host: str, now: float) -> bool:
+        """Tell whether a server is left out because it fails what it accepts.
+
+        The report states for how long, so this outlasts the report.
+        """
+        peer = self._peers.get(host)
+        return peer is not None and now < peer.ejected_until
+
+    def leave_out_ejected(
+        self, agents: Iterable[AgentEntry], now: float
+    ) -> list[AgentEntry]:
+        """Return the agents whose servers are not left out, or all if none is left."""
+        agents = list(agents)
+        in_use = [agent for agent in agents if not self.is_ejected(agent.host, now)]
+        return in_use or agents
+
     def is_cold(self, host: str, now: float) -> bool:
         """Tell whether an agent's server is in cold start by its last report."""
         report = self.fresh_report(host, now)
@@ -155,6 +241,13 @@
         report = self.fresh_report(host, now)
         return report is not None and report.short_flows
 
+    def has_mixed_flows(self, now: float) -> bool:
+        """Tell whether an agent reports long flows beside flows of one request."""
+        return any(
+            report is not None and report.mixed
+            for report in (self.fresh_report(host, now) for host in self._peers)
+        )
+
     def completion_seconds(self, host: str, now: float) -> float:
         """Return the estimated seconds until a new request would be processed.
 
@@ -182,6 +275,7 @@
     excluded: Collection[str],
     now: float,
     allow_remote_cold: bool = True,
+    habit: Habit = Habit.UNKNOWN,
 ) -> AgentEntry | None:
     """Return the agent that an opening is sent to, or None if none accepts it.
 
@@ -199,6 +293,8 @@
         Seconds on the monotonic clock.
     allow_remote_cold : bool
         Whether a server in cold start in another data centre may be chosen.
+    habit : Habit
+        Whether the flow will have one request or many; unknown for plain placement.
     """
     candidates = [
         agent
@@ -213,6 +309,9 @@
     ]
     if not candidates:
         return None
+    candidates = board.leave_out_ejected(candidates, now)
+    if habit is not Habit.UNKNOWN and is_mixed(candidates, board, now):
+        return choose_mixed(candidates, habit, data_centre, board, now)
     if any(board.has_short_flows(agent.host, now) for agent in candidates):
         return choose_soonest(candidates, data_centre, board, now) or candidates[0]
     pressures = {agent.host: board.pressure(agent.host, now) for agent in candidates}
@@ -248,7 +347,7 @@
         Seconds within which it must complete the request; else None is returned.
     """
     best, best_seconds = None, before
-    for agent in candidates:
+    for agent in board.leave_out_ejected(candidates, now):
         seconds = board.completion_seconds(agent.host, now)
         if agent.data_centre != data_centre:
             seconds += REMOTE_SECONDS
--- a/src/berylturn/connection/recovery/flow_search.py
+++ b/src/berylturn/connection/recovery/flow_search.py
@@ -4,27 +4,22 @@
 
 from ...version.owners import rank_agents
 from ..flow_table import FlowState
-from ..passthrough_effects import PassthroughEffect, ToBackend, ToPeer, reset_caller
+from ..passthrough_effects import PassthroughEffect, ToBackend, ToPeer
 from ..passthrough_state import PassthroughState
 from ..peer_frames import Findings, Forward, Inquiry, next_forward
 from ..placement.load_board import ANSWER_TIMEOUT_SECONDS
 from ..segments import Segment
-from .flow_inquiry import (
-    REPEAT_SECONDS,
-    Inquiries,
-    PendingInquiry,
-    combine_started_together,
-)
+from .flow_end import FlowEnd
+from .flow_inquiry import LOGGED_HOSTS, REPEAT_SECONDS, Inquiries, PendingInquiry
 from .flow_locations import FlowLocations
 from .offers import Offers
-from .power_loss import AgentStart, AgentStarts
 from .server_signs import ANSWER_SECONDS
 
 # An agent that is restarted answers again within this time. One that is silent for
 # longer is asked only when the caller sends again.
 RESTART_SECONDS = 3.0
-# Silent agents named in a log line.
-LOGGED_HOSTS = 5
+# Age of an agent's inquiry up to which it is told that this one ends.
+INQUIRER_SECONDS = 5.0
 
 
 class FlowSearch:
@@ -51,7 +46,9 @@
         self._offers = offers
         self._locations = locations
         self._inquiries = Inquiries()
-        self._starts = AgentStarts()
+        self._end = FlowEnd(state)
+        # When each agent last asked for owners, the newest one last.
+        self._inquirers: dict[str, float] = {}
 
     @property
     def is_searching(self) -> bool:
@@ -59,6 +56,11 @@
         awaits_server = self._state.signs.is_awaited and len(self._offers) > 0
         return len(self._inquiries) > 0 or awaits_server
 
+    @property
+    def count(self) -> int:
+        """Return the number of pending searches."""
+        return len(self._inquiries)
+
     def has_lost_power(self, host: str, now: float) -> bool:
         """Tell whether an agent's server, also the own one, certainly lost power.
 
@@ -69,21 +71,14 @@
         now : float
             Seconds on the monotonic clock.
         """
-        state = self._state
-        own = AgentStart(
-            state.process.at,
-            state.gate.started_together,
-            state.signs.has_reported,
-            state.signs.started_later,
-            now,
-        )
-        self._starts.record(state.host, own)
-        return self._starts.lost_power(host, self._data_centres(), now)
+        return self._end.has_lost_power(host, now)
 
     def forget_absent_agents(self) -> None:
         """Stop to wait for agents that are no longer in use, and forget their words."""
-        data_centres = self._data_centres()
-        self._starts.keep_only(data_centres)
+        data_centres = self._state.data_centres()
+        self._end.keep_only(data_centres)
+        for host in self._inquirers.keys() - data_centres.keys():
+            del self._inquirers[host]
         for inquiry in self._inquiries.pending():
             if inquiry.offered_to not in data_centres:
                 inquiry.offered_to = ""
@@ -102,33 +97,48 @@
                 return []
         if self._cannot_be_held(segment.flow):
             return self.on_not_held(frame, segment, now)
-        offer = self._offer_own_server(frame, segment, now)
         if self._state.server_missing(now):
-            # The offer shows whether the server is back.
-            return [*offer, *self._on_unanswered(frame, segment, now)]
-        return offer
+            # The packet shows whether the server is back, but nothing waits for that.
+            effects = self._on_unanswered(frame, segment, now)
+            return [ToBackend(segment.data), *effects]
+        return self._offer_own_server(frame, segment, now)
 
     def on_not_held(
         self, frame: Forward, segment: Segment, now: float
     ) -> list[PassthroughEffect]:
         """Continue the search when the own backend server does not hold the flow."""
         if frame.inquirer:
-            findings = self._prepare_findings(now)
+            findings = self.prepare_findings(now)
             findings.absent.append(segment.flow)
             return [ToPeer(frame.inquirer, findings)]
         return self._search(frame, segment, "", now)
 
+    def answer_offers(self, now: float) -> list[PassthroughEffect]:
+        """Continue the searches whose packets the server got before it had started.
+
+        Nobody returns these packets. A server that is known to have started since
+        holds no other flows than those in the table.
+        """
+        if not self._has_complete_table():
+            return []
+        effects: list[PassthroughEffect] = []
+        for frame, segment in self._offers.pop_unanswered(now):
+            if self._state.flows.get(segment.flow) is None:
+                effects += self.on_not_held(frame, segment, now)
+        return effects
+
     def _on_unanswered(
         self, frame: Forward, segment: Segment, now: float
     ) -> list[PassthroughEffect]:
         """Continue the search when no server answers beside this agent."""
         if frame.inquirer:
-            findings = self._prepare_findings(now)
+            findings = self.prepare_findings(now)
             findings.unsure.append(segment.flow)
             return [ToPeer(frame.inquirer, findings)]
         return self._search(frame, segment, "", now)
 
-    def _prepare_findings(self, now: float) -> Findings:
+    def prepare_findings(self, now: float) -> Findings:
+        """Return an answer without flows, with what is known of the own server."""
         return Findings(
             [],
             [],
@@ -153,6 +163,9 @@
                 offered_to=inquiry.offered_to,
                 silent=self._find_silent(inquiry)[:LOGGED_HOSTS],
             )
+        waiting = self._inquiries.describe_waiting(self._find_silent, now)
+        if waiting is not None:
+            self._state.log_decision("searches_wait", b"", **waiting)
         effects: list[PassthroughEffect] = []
         if self._state.server_missing(now):
             for frame, segment in self._offers.pop_unanswered(now - ANSWER_SECONDS):
@@ -175,7 +188,9 @@
         self, host: str, flows: list[bytes], now: float
     ) -> list[PassthroughEffect]:
         """Answer another agent from the flow table and the registered locations."""
-        findings = self._prepare_findings(now)
+        self._inquirers.pop(host, None)
+        self._inquirers[host] = now
+        findings = self.prepare_findings(now)
         for key in flows:
             flow = self._state.flows.get(key)
             owner = self._locations.owner_of(key)
@@ -189,22 +204,25 @@
                 findings.unsure.append(key)
         return [ToPeer(host, findings)]
 
+    def tell_of_stop(self, now: float) -> list[PassthroughEffect]:
+        """Tell the agents that lately searched that this one ends."""
+        findings = self.prepare_findings(now)
+        findings.stopping = True
+        return [
+            ToPeer(host, findings)
+            for host, asked_at in self._inquirers.items()
+            if now - asked_at <= INQUIRER_SECONDS
+        ]
+
     def on_findings(
         self, host: str, findings: Findings, now: float
     ) -> list[PassthroughEffect]:
         """Handle another agent's answer to an inquiry or an offer."""
         self._state.board.record_report(host, None, now)
-        self._starts.record(
-            host,
-            AgentStart(
-                now - findings.process_seconds,
-                findings.started_together,
-                findings.has_reported,
-                findings.started_later,
-                now,
-            ),
-        )
+        self._end.record_findings(host, findings, now)
         effects: list[PassthroughEffect] = []
+        if findings.stopping:
+            effects += self._let_go(host, now)
         for key, owner in findings.held:
             effects += self._on_owner_named(host, key, owner, now)
         for keys, absent in ((findings.absent, True), (findings.unsure, False)):
@@ -214,6 +232,20 @@
                     effects += self._offer_next(inquiry, now)
         return effects
 
+    def _let_go(self, host: str, now: float) -> list[PassthroughEffect]:
+        """Go on with all searches without an agent that has departed."""
+        if not self._end.has_departed(host, now):
+            return []
+        effects: list[PassthroughEffect] = []
+        for inquiry in self._inquiries.pending():
+            inquiry.answered.add(host)
+            inquiry.unsure.discard(host)
+            inquiry.missing.add(host)
+            if inquiry.offered_to == host:
+                inquiry.offered_to = ""
+            effects += self._offer_next(inquiry, now)
+        return effects
+
     def pop_inquiries(self) -> list[PassthroughEffect]:
         """Remove and return the queued inquiries."""
         return [
@@ -222,11 +254,12 @@
 
     def _cannot_be_held(self, flow: bytes) -> bool:
         """Tell whether the own server certainly does not hold an unknown flow."""
+        return self._has_complete_table() or self._offers.was_returned(flow)
+
+    def _has_complete_table(self) -> bool:
+        """Tell whether the own server certainly holds no flow that is not known."""
         gate = self._state.gate
-        has_complete_table = (
-            gate.has_left or gate.saw_start or self._state.signs.has_ended
-        )
-        return has_complete_table or self._offers.was_returned(flow)
+        return gate.has_left or gate.saw_start or self._state.signs.has_ended
 
     def _offer_own_server(
         self, frame: Forward, segment: Segment, now: float
@@ -296,7 +329,14 @@
         self, inquiry: PendingInquiry, now: float
     ) -> list[PassthroughEffect]:
         """Offer the packet to the next unsure agent, the most likely owner first."""
-        silent = self._find_silent(inquiry)
+        silent = [
+            host
+            for host in self._find_silent(inquiry)
+            if not (
+                self._state.board.is_suspect(host, now)
+                and self._end.has_departed(host, now)
+            )
+        ]
         if inquiry.offered_to or self._must_wait(inquiry, silent, now):
             return []
         unsure_hosts = self._rank_unsure(inquiry)
@@ -323,7 +363,7 @@
         if not missing and not self._cannot_be_held(flow):
             # Another agent had been named, so the own server was not offered it first.
             return self._offer_own_server(inquiry.frame, inquiry.segment, now)
-        return self._end_not_found(inquiry, missing, now)
+        return self._end.end_not_found(inquiry, missing, now)
 
     def _must_wait(
         self, inquiry: PendingInquiry, silent: list[str], now: float
@@ -355,53 +395,3 @@
             if agent.host in inquiry.unsure
         ]
         return sorted(ranked, key=lambda host: host != inquiry.named)
-
-    def _end_not_found(
-        self, inquiry: PendingInquiry, own_missing: bool, now: float
-    ) -> list[PassthroughEffect]:
-        """Reset a flow that no backend server holds, if its caller expects an answer.
-
-        Every agent in the directory has answered that its server does not hold the
-        flow: while one answer is missing, the search does not complete. An agent that
-        has just started, or that may have missed a change of the directory, cannot be
-        certain and resets nothing. A server that nobody hears must have lost power.
-        """
-        segment = inquiry.segment
-        own_restarted = self._state.gate.started_together
-        all_restarted = (
-            combine_started_together(inquiry.all_restarted, own_restarted) is True
-        )
-        unproven = self._list_unproven(inquiry.missing, own_missing, now)
-        is_complete = self._state.directory_trust(now).is_complete(all_restarted)
-        certain = is_complete and not unproven
-        expects_answer = segment.size > 0 and not segment.closing and not segment.reset
-        resets = certain and expects_answer
-        self._state.log_decision(
-            "flow_not_found",
-            segment.flow,
-            hops=sum(map(len, self._state.agents.values())),
-            ended=resets,
-            certain=certain,
-            all_restarted=all_restarted,
-            missing=sorted(inquiry.missing)[:LOGGED_HOSTS],
-            unproven=unproven[:LOGGED_HOSTS],
-        )
-        if not resets:
-            return []
-        return [reset_caller(self._state.codec, segment.flow, segment.acknowledged)]
-
-    def _list_unproven(
-        self, missing: set[str], own_missing: bool, now: float
-    ) -> list[str]:
-        """Return the agents whose missing servers may yet live."""
-        hosts = sorted(missing)
-        if own_missing:
-            hosts.append(self._state.host)
-        return [host for host in hosts if not self.has_lost_power(host, now)]
-
-    def _data_centres(self) -> dict[str, str]:
-        return {
-            agent.host: agent.data_centre
-            for agents in self._state.agents.values()
-            for agent in agents
-        }
--- a/src/berylturn/connection/recovery/power_loss.py
+++ b/src/berylturn/connection/recovery/power_loss.py
@@ -9,7 +9,8 @@
 - the agent has had no report of it since the agent's own start, so that it has admitted
   no flow to it either,
 - all other agents of its data centre whose servers have reported started together with
-  them, and they are two at least (else the agents of all data centres count), and
+  them, and they are two at least (with a single one there, the agents of all data
+  centres count; with none, nothing is known of its power), and
 - all these agents and that one started at one time. An agent that is restarted later,
   beside a server that hangs, proves nothing.
 
@@ -45,6 +46,8 @@
         Whether its server has reported to it since.
     started_later : bool
         Whether its server started long after the agent, as after a crash.
+    stopping : bool
+        Whether the agent has been stopped since.
     heard_at : float
         When it said so.
     """
@@ -53,6 +56,7 @@
     started_together: bool | None
     has_reported: bool
     started_later: bool
+    stopping: bool
     heard_at: float
 
     @property
@@ -78,6 +82,11 @@
         for host in self._starts.keys() - hosts.keys():
             del self._starts[host]
 
+    def was_stopped(self, host: str) -> bool:
+        """Tell whether the last word of an agent is that it is stopped."""
+        start = self._starts.get(host)
+        return start is not None and start.stopping
+
     def lost_power(
         self, host: str, data_centres: Mapping[str, str], now: float
     ) -> bool:
@@ -105,8 +114,10 @@
             for other, start in witnesses.items()
             if data_centres[other] == data_centres.get(host)
         ]
+        if not near:
+            return False
         heard = near if len(near) >= MIN_WITNESSES else list(witnesses.values())
-        return len(heard) > 0 and all(
+        return len(heard) >= MIN_WITNESSES and all(
             start.started_together
             and abs(start.at - own.at) <= POWER_RETURN_SPAN_SECONDS
             for start in heard
--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from ..clock import epoch_milliseconds
+from ..connection.admission.caller_shares import CallerShares
 from ..connection.admission.opening_gate import GateBounds, OpeningGate
 from ..connection.passthrough import PassthroughAgent
 from ..connection.passthrough_effects import PassthroughEffect, ToBackend
@@ -23,6 +24,7 @@
     Registered,
 )
 from ..connection.placement.load_board import LoadBoard
+from ..connection.placement.outliers import OutlierRules, Standing
 from ..connection.recovery.backend_reports import BackendReport, OwnServer, ProcessStart
 from ..errors import PacketError, PlatformError
 from ..version.agent_directory import AgentDirectory, Directory
@@ -75,6 +77,8 @@
         process = _find_process_start(node)
         self._gate = OpeningGate(_build_gate_bounds(node), process)
         self._board = LoadBoard()
+        tells_callers_apart = node.settings.fairness.callers == "address"
+        self._shares = CallerShares() if tells_callers_apart else None
         self._agent = PassthroughAgent(
             node.host,
             self._gate,
@@ -84,7 +88,11 @@
             lambda seconds: node.metrics.time("response", seconds),
             node.sync.directory_trust,
             process,
+            _build_outlier_rules(node),
+            self._shares,
+            node.settings.placement.policy == "mixed",
         )
+        self._sent_ejected = False
         self._directory = AgentDirectory(
             lambda host: (
                 self._board.has_left(host)
@@ -119,10 +127,10 @@
             *(sibling.host for sibling in self._siblings),
         ]
         node.describe = self._describe_state
-        node.is_overdue = self._board.is_suspect
-        node.on_host_answered = self._board.record_alive
-        if node.detours is not None:
-            self._board.list_detoured = node.detours.list_hosts
+        node.follow_board(self._board)
+        node.explain = lambda flow: self._agent.explain(
+            flow, node.settings.node.data_centre, node.now()
+        )
         node.on_settings_reloaded = lambda: self._gate.set_bounds(
             _build_gate_bounds(node)
         )
@@ -152,7 +160,6 @@
             )
             return False
         before = self._gate.report
-        self._agent.on_backend_report(report)
         self._set_limits(report.service)
         restarted = self._gate.record_report(
             report, node.now(), service_known=own.service is not None
@@ -162,7 +169,9 @@
             before is None or _has_state_changed(before, current)
         ):
             self._apply_backend_state(current, restarted)
+        self._send_effects(self._agent.on_backend_report(report, node.now()))
         if restarted:
+            self._agent.forget_outcomes(node.now())
             self._send_effects(self._agent.on_backend_restarted())
         self._send_effects(self._agent.admit_queued(node.now()))
         self._send_load_if_changed()
@@ -231,6 +240,8 @@
             "flows": len(self._agent.flows),
             "running": self._agent.running,
             "waiting": self._agent.queued,
+            "standing": self._agent.standing.value,
+            "failed_share": round(self._agent.failed_share, 3),
             "registered": self._agent.registered,
             "load": self._board.describe(now),
         }
@@ -246,6 +257,7 @@
             self._node.record_drop("backend", error)
             return
         self._send_effects(self._agent.on_backend(segment, self._node.now()))
+        self._send_load_if_judged()
 
     def _on_backend_refused(self, error: Exception) -> None:
         log_warning("backend_refused", error=str(error))
@@ -260,7 +272,10 @@
         elif type(frame) is Registered:
             self._agent.on_registered(host, frame.flows, now)
         elif type(frame) is Load:
-            self._board.record_report(host, frame.load, now)
+            self._board.record_report(host, frame.load, now, frame.is_answer)
+            if frame.load.ejected_ms:
+                self._send_effects(self._agent.on_ejected_sibling(now))
+                self._send_load_if_judged()
             self._node.sync.handle_peer_revisions(host, frame.load.newest)
         elif type(frame) is Probe:
             self._record_balancer(host, frame.data_centre, now)
@@ -328,7 +343,7 @@
         They pass on what they cannot process, and a request lasts only milliseconds.
         """
         self._sibling_report_scheduled = False
-        frame = Load(self._agent.load_report(self._node.now()))
+        frame = Load(self._agent.load_report(self._node.now()), is_answer=False)
         for sibling in self._siblings:
             self._node.send(sibling.host, frame)
 
@@ -380,6 +395,14 @@
         if (load.accepting, load.cold) != self._last_sent_state:
             self._send_load(load, remote_siblings=True, remote_balancers=True)
 
+    def _send_load_if_judged(self) -> None:
+        """Tell all peers when the server is left out, or no longer."""
+        if self._agent.is_ejected == self._sent_ejected:
+            return
+        self._sent_ejected = self._agent.is_ejected
+        load = self._agent.load_report(self._node.now())
+        self._send_load(load, remote_siblings=True, remote_balancers=True)
+
     def _send_periodic_load(self, report_number: int) -> None:
         """Send peers near by the load, and all peers a state that time has changed."""
         load = self._agent.load_report(self._node.now())
@@ -396,7 +419,7 @@
         """Send a load report to peers near by, and to those elsewhere if wanted."""
         self._last_sent_state = (load.accepting, load.cold)
         own_data_centre = self._node.settings.node.data_centre
-        frame = Load(load)
+        frame = Load(load, is_answer=False)
         for sibling in self._siblings:
             if remote_siblings or sibling.data_centre == own_data_centre:
                 self._node.send(sibling.host, frame)
@@ -410,6 +433,8 @@
             await asyncio.sleep(REPORT_SECONDS)
             now = node.now()
             self._agent.smooth_load(now)
+            self._send_effects(self._agent.judge_server(now))
+            self._send_load_if_judged()
             directory = self._directory.expire(now)
             if directory is not None:
                 self._apply_directory(directory)
@@ -420,6 +445,18 @@
             node.metrics.gauge("flows", len(self._agent.flows))
             node.metrics.gauge("registered", self._agent.registered)
             node.metrics.gauge("running", self._agent.running)
+            node.metrics.gauge("searches", self._agent.searches)
+            is_in_use = self._agent.standing is Standing.IN_USE
+            node.metrics.gauge("left_out", 0 if is_in_use else 1)
+            node.metrics.gauge("failed_share", self._agent.failed_share)
+            if self._shares is not None:
+                node.metrics.gauge("callers", len(self._shares))
+                node.metrics.gauge("callers_ahead", self._agent.callers_ahead(now))
+            if self._agent.open_feeds is not None:
+                load = self._agent.load_report(now)
+                node.metrics.gauge("feeds", self._agent.open_feeds)
+                node.metrics.gauge("pledged_slots", load.pledged)
+                node.metrics.gauge("mixed_flows", float(load.mixed))
 
     async def _run_sweeps(self) -> None:
         while True:
@@ -479,6 +516,13 @@
     )
 
 
+def _build_outlier_rules(node: PassthroughNode) -> OutlierRules:
+    section = node.settings.outliers
+    return OutlierRules(
+        section.mode != "off", section.mode == "eject", section.largest_share
+    )
+
+
 def _find_process_start(node: PassthroughNode) -> ProcessStart:
     """Return the start of this process on both clocks."""
     age_ms = int(1000 * (node.now() - node.started))
--- a/tests/overload_replay.py
+++ b/tests/overload_replay.py
@@ -80,6 +80,8 @@
         Seed of arrivals and work.
     """
 
+    data_centres = 4
+
     def __init__(self, servers: int, seed: int) -> None:
         self.random = random.Random(seed)
         self.timers: list[tuple[float, int, Callable[[], None]]] = []
@@ -88,9 +90,9 @@
         self.requests: list[Request] = []
         self.flows: dict[bytes, tuple[Request, str]] = {}
         self.running_timers: set[str] = set()
-        centres = ["dc-a", "dc-b", "dc-c", "dc-d"]
-        agents = {f"a{n}": (centres[n % 4], "desk") for n in range(servers)}
-        balancers = {f"f{n}": centres[n] for n in range(4)}
+        centres = ["dc-a", "dc-b", "dc-c", "dc-d"][: self.data_centres]
+        agents = {f"a{n}": (centres[n % len(centres)], "desk") for n in range(servers)}
+        balancers = {f"f{n}": centre for n, centre in enumerate(centres)}
         self.servers = {
             name: Server(SPEEDS[n % len(SPEEDS)]) for n, name in enumerate(agents)
         }
@@ -131,8 +133,9 @@
             rules = self.agents[name]
             self.report(name, slots=1)
             rules.smooth_load(self.now)
+            self._run_effects(name, rules.judge_server(self.now))
             frame = Load(rules.load_report(self.now))
-            peers = [*self.routers, *(set(self.servers) - {name})]
+            peers = [*self.routers, *(p for p in self.servers if p != name)]
             self._run_effects(name, [ToPeer(peer, frame) for peer in peers])
             self.after(REPORT_SECONDS, report)
 
@@ -186,7 +189,7 @@
                 self._run_effects(name, rules.admit_queued(self.now))
                 return
             frame = Load(rules.load_report(self.now))
-            for peer in set(self.servers) - {name}:
+            for peer in (p for p in self.servers if p != name):
                 self.after(NODE_SECONDS, lambda p=peer: self.hear(p, name, frame))
 
         self.after(seconds, check)
@@ -194,6 +197,9 @@
     def hear(self, receiver: str, sender: str, frame: Load) -> None:
         """Deliver a load report between siblings."""
         self.boards[receiver].record_report(sender, frame.load, self.now)
+        if frame.load.ejected_ms:
+            rules = self.agents[receiver]
+            self._run_effects(receiver, rules.on_ejected_sibling(self.now))
 
     def deliver(self, sender: str, effect: ToPeer) -> None:
         """Deliver one frame between nodes."""
@@ -233,7 +239,7 @@
         server.busy_seconds += seconds
 
         def end() -> None:
-            self.finish(name, key, b"200")
+            self.finish(name, key, b"200" + bytes(600))
             server.running = None
             if server.waiting:
                 self.start_work(name, server.waiting.popleft())
@@ -266,7 +272,7 @@
             del self.flows[key]
         elif flags & SYN:
             self.to_balancer(key, caller_packet(key, ACK, ack=501, body=b"GET"))
-        elif body == b"200":
+        elif body.startswith(b"200"):
             self.to_balancer(key, caller_packet(key, ACK | FIN, ack=505))
             del self.flows[key]
             request.answered_at = self.now
--- a/tests/passthrough_mesh.py
+++ b/tests/passthrough_mesh.py
@@ -12,7 +12,12 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from berylturn.connection.admission.caller_shares import CallerShares
 from berylturn.connection.admission.opening_gate import GateBounds, OpeningGate
+from berylturn.connection.admission.second_offers import (
+    SecondOfferLimits,
+    SecondOffers,
+)
 from berylturn.connection.passthrough import PassthroughAgent
 from berylturn.connection.passthrough_effects import ToBackend, ToCaller, ToPeer
 from berylturn.connection.passthrough_router import PassthroughRouter
@@ -23,9 +28,11 @@
     Load,
     LoadReport,
     Owned,
+    Refused,
     Registered,
 )
 from berylturn.connection.placement.load_board import LoadBoard
+from berylturn.connection.placement.outliers import OutlierRules
 from berylturn.connection.recovery.backend_reports import BackendReport, ProcessStart
 from berylturn.platform import packets
 from berylturn.version.agent_directory import Directory, DirectoryTrust
@@ -121,6 +128,14 @@
         Data centre of each balancer, by name.
     """
 
+    outlier_rules = OutlierRules()
+    # Whether agents keep shares of callers.
+    tells_callers_apart = False
+    # Whether the nodes place by `policy = mixed`.
+    mixed_placement = False
+    # Second offers are off, as they are without their setting.
+    offer_limits = SecondOfferLimits(0.0, 0.05)
+
     def __init__(
         self, agents: dict[str, tuple[str, str]], balancers: dict[str, str]
     ) -> None:
@@ -168,6 +183,9 @@
             lambda seconds: None,
             lambda now: DirectoryTrust(name not in self.uncertain, self.known_seconds),
             process,
+            self.outlier_rules,
+            CallerShares() if self.tells_callers_apart else None,
+            self.mixed_placement,
         )
         self.agents[name] = rules
         rules.set_table(self.table)
@@ -182,7 +200,13 @@
         """Start a balancer without hints."""
         board = self.boards[name] = LoadBoard()
         self.routers[name] = PassthroughRouter(
-            name, data_centre, board, packets, self._log_decision
+            name,
+            data_centre,
+            board,
+            packets,
+            self._log_decision,
+            self.mixed_placement,
+            SecondOffers(self.offer_limits, self._log_decision),
         )
         if configured:
             self.configure_balancer(name)
@@ -225,7 +249,7 @@
         self.agents[name].set_slots(values["slots"])
         report = BackendReport(**values)
         restarted = self.gates[name].record_report(report, self.now, service_known)
-        self.agents[name].on_backend_report(report)
+        self._run_effects(name, self.agents[name].on_backend_report(report, self.now))
         if restarted:
             self._run_effects(name, self.agents[name].on_backend_restarted())
         return restarted
@@ -337,8 +361,8 @@
         frame = effect.frame
         self.frame_counts[type(frame).__name__] += 1
         if effect.host in self.routers:
-            if isinstance(frame, Owned | Load):
-                self.routers[effect.host].on_frame(sender, frame, self.now)
+            if isinstance(frame, Owned | Load | Refused):
+                return self.routers[effect.host].on_frame(sender, frame, self.now)
             return []
         rules = self.agents[effect.host]
         if type(frame) is Load:
