--- a/src/berylturn/connection/passthrough_state.py
+++ b/src/berylturn/connection/passthrough_state.py
@@ -160,7 +160,7 @@
             cold=self.gate.is_cold(now),
             backend_left=self.gate.has_left,
             outstanding=self.outstanding(now) + self.outliers.aversion(now),
-            ejected_ms=1000 * self.outliers.ejected_seconds(now),
+            ejected_ms=int(1000 * self.outliers.ejected_seconds(now)),
             failed_percent=round(100 * self.outliers.failed_share),
             answer_age_ms=self.outliers.answer_age_ms(now),
             service_ms=1000 * service_seconds,
--- a/src/berylturn/connection/peer_frames.py
+++ b/src/berylturn/connection/peer_frames.py
@@ -57,11 +57,9 @@
     short_flows : bool
         Whether most flows end after a single request, so that each opening is a
         request.
-    ejected_ms : float
+    ejected_ms : int
         Milliseconds for which the server gets no new flows because it fails what it
         accepts; 0 if it is in use.
-    wait_ms : float
-        Milliseconds that an opening queued now is expected to wait for its admission.
     pledged : float
         Mean number of slots that the requests of the open flows occupy.
     failed_percent : int
@@ -86,8 +84,7 @@
     outstanding: Annotated[int, Meta(ge=0, le=MAX_REQUESTS)] = 0
     service_ms: Annotated[float, Meta(ge=0)] = 0.0
     short_flows: bool = False
-    ejected_ms: Annotated[float, Meta(ge=0)] = 0.0
-    wait_ms: Annotated[float, Meta(ge=0)] = 0.0
+    ejected_ms: Annotated[int, Meta(ge=0)] = 0
     pledged: Annotated[float, Meta(ge=0, le=MAX_REQUESTS)] = 0.0
     failed_percent: Annotated[int, Meta(ge=0, le=100)] = 0
     answer_age_ms: Annotated[int, Meta(ge=0)] | None = None
--- a/tests/test_second_offers.py
+++ b/tests/test_second_offers.py
@@ -135,7 +135,7 @@
         ("cold", {"cold": True}, ("dc-a", "desk"), "cold"),
         ("its agent stops", {"stopping": True}, ("dc-a", "desk"), "stopping"),
         ("draining", {"accepting": False}, ("dc-a", "desk"), "load"),
-        ("ejected", {"ejected_ms": 500.0}, ("dc-a", "desk"), "load"),
+        ("ejected", {"ejected_ms": 500}, ("dc-a", "desk"), "load"),
         ("busy", {"busy": 2.0}, ("dc-a", "desk"), "load"),
         ("backlog", {"short_flows": True, "outstanding": 60}, ("dc-a", "desk"), "load"),
     )
