--- a/src/berylturn/connection/opening_forecast.py
+++ b/src/berylturn/connection/opening_forecast.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..version.owners import rank_agents
-from .admission.passthrough_openings import OpeningHandler
+from .admission.opening_plan import OpeningPlanner
 from .candidates import describe_candidates
 from .passthrough_state import PassthroughState
 from .peer_frames import Forward
@@ -13,7 +13,7 @@
 
 def explain_at_agent(
     state: PassthroughState,
-    openings: OpeningHandler,
+    planner: OpeningPlanner,
     locations: FlowLocations,
     data_centre: str,
     flow: bytes,
@@ -25,7 +25,7 @@
     ----------
     state : PassthroughState
         State of the agent.
-    openings : OpeningHandler
+    planner : OpeningPlanner
         The rules that decide.
     locations : FlowLocations
         Flows of other agents that are registered with this one.
@@ -52,12 +52,12 @@
     answer["candidates"] = describe_candidates(
         rank_agents(flow, data_centre, agents), state.board, state.evacuated, now
     )
-    return {**answer, **_forecast(state, openings, service, data_centre, flow, now)}
+    return {**answer, **_forecast(state, planner, service, data_centre, flow, now)}
 
 
 def _forecast(
     state: PassthroughState,
-    openings: OpeningHandler,
+    planner: OpeningPlanner,
     service: str,
     data_centre: str,
     flow: bytes,
@@ -67,21 +67,21 @@
     if flow in state.queue:
         return {**outcome, "obstacle": "queued", "to": state.host}
     segment = _make_opening(flow)
-    obstacle = openings.find_obstacle(segment, service, now)
+    obstacle = planner.find_obstacle(segment, service, now)
     if obstacle is None:
         return {**outcome, "to": state.host}
     outcome["obstacle"] = obstacle
     frame = Forward(
         state.host, data_centre, state.table.version, service, [], False, b""
     )
-    plan = openings.plan_elsewhere(frame, segment, service, obstacle, now)
+    plan = planner.plan_elsewhere(frame, segment, service, obstacle, now)
     if plan.sibling is not None:
         return {**outcome, "to": plan.sibling.host}
     if plan.admits:
         return {**outcome, "to": state.host}
     if plan.wait_seconds is None:
         return {**outcome, "refused": plan.refusal}
-    overload = openings.find_overload(frame, segment, service, now)
+    overload = planner.find_overload(frame, segment, service, now)
     if overload is not None:
         return {**outcome, "refused": overload}
     return {**outcome, "to": state.host, "waits": round(plan.wait_seconds, 4)}
--- a/src/berylturn/connection/passthrough.py
+++ b/src/berylturn/connection/passthrough.py
@@ -188,7 +188,7 @@
     def explain(self, flow: bytes, data_centre: str, now: float) -> dict[str, object]:
         """Return what the agent would do with an opening now, without doing it."""
         return explain_at_agent(
-            self._state, self._openings, self._locations, data_centre, flow, now
+            self._state, self._openings.planner, self._locations, data_centre, flow, now
         )
 
     def load_report(self, now: float) -> LoadReport:
