Give frames between nodes, with detours and channels, a module of their own

Change: moves; PeerLink encodes, sends, relays and receives, the node keeps the platform's objects, logs and tasks.

--- a/src/berylturn/process/passthrough_agent.py
+++ b/src/berylturn/process/passthrough_agent.py
@@ -127,7 +127,7 @@
             *(sibling.host for sibling in self._siblings),
         ]
         node.describe = self._describe_state
-        node.follow_board(self._board)
+        node.link.follow_board(self._board)
         node.explain = lambda flow: self._agent.explain(
             flow, node.settings.node.data_centre, node.now()
         )
--- a/src/berylturn/process/passthrough_balancer.py
+++ b/src/berylturn/process/passthrough_balancer.py
@@ -80,7 +80,7 @@
         node = self._node
         node.list_known_peers = self._list_recent_agents
         node.describe = self._describe_state
-        node.follow_board(self._board)
+        node.link.follow_board(self._board)
         await node.open_caller_socket(self._on_caller_packet)
         node.explain = lambda flow: self._router.explain(flow, node.now())
         node.on_settings_reloaded = lambda: self._second_offers.set_limits(
--- a/src/berylturn/process/passthrough_node.py
+++ b/src/berylturn/process/passthrough_node.py
@@ -12,19 +12,10 @@
 
 from ..clock import Clock
 from ..connection.passthrough_effects import PassthroughEffect, ToCaller, ToPeer
-from ..connection.peer_frames import (
-    Detour,
-    PathProbe,
-    PeerFrame,
-    ViewInquiry,
-    ViewStatus,
-    decode_frame,
-    encode_frame,
-)
-from ..connection.placement.load_board import LoadBoard
+from ..connection.peer_frames import PeerFrame, ViewInquiry, ViewStatus
 from ..connection.recovery.detours import Detours
 from ..connection.segments import SegmentCodec, describe_flow
-from ..errors import PacketError, PlatformError
+from ..errors import PlatformError
 from ..version.owners import AgentEntry
 from ..version.routes import RouteTable
 from .agent_entries import EntryReader
@@ -41,7 +32,7 @@
     ObjectStore,
     ObjectView,
 )
-from .peer_channels import REBIND_AFTER_SECONDS, PeerChannels
+from .peer_link import PeerLink
 from .settings import PassthroughAgentSettings, PassthroughBalancerSettings
 from .settings_file import SettingsFile
 from .sockets import Address, open_udp
@@ -103,6 +94,7 @@
         self.logs = logs
         self.metrics = Metrics(settings.metrics.statsd, settings.node.name)
         self.frames = FrameCounts(self.metrics, settings.node.data_centre)
+        self.link = self._make_link()
         self.event_log = RateLimitedLog()
         self.tasks = TaskGroup()
         self.view = ObjectView(self._on_view_change)
@@ -112,8 +104,8 @@
         self._early_socket = early_socket
         self._decode_table = decode_table
         self._on_objects_changed: Callable[[Kind], None] = lambda kind: None
+        self._on_frame: Callable[[str, PeerFrame], None] = lambda host, frame: None
         self._caller_transport: asyncio.DatagramTransport | None = None
-        self._channels: PeerChannels | None = None
         self._entry_reader = EntryReader()
         self._relayed_kinds = choose_relayed_kinds(settings)
         self.sync = ViewSync(
@@ -132,18 +124,6 @@
             self.view, self.sync, self.send, position, self._list_seeds, clock
         )
         self.sync.on_proved = self.relay.notify_followers
-        self.detours: Detours | None = None
-        if settings.detours.mode == "on":
-            self.detours = Detours(
-                self.host,
-                settings.node.data_centre,
-                lambda event, **inputs: self.log_decision(event, b"", **inputs),
-            )
-        # Returns the hosts that have owed an answer for long, at a time.
-        self.list_silent: Callable[[float], list[str]] = lambda now: []
-        # Tells whether an answer of a host is overdue at a time.
-        self.is_overdue: Callable[[str, float], bool] = lambda host, now: False
-        self.on_host_answered: Callable[[str, float], None] = lambda host, now: None
         self.list_known_peers: Callable[[], list[str]] = list
         self.on_settings_reloaded: Callable[[], None] = lambda: None
         # Returns the keys of the state page that only this kind of daemon has.
@@ -197,12 +177,8 @@
         """Open the other sockets, start the tasks and start to watch the platform."""
         addresses = self.settings.passthrough
         self._on_objects_changed = on_objects_changed
-        peer_transport = await open_udp(
-            (self.bind_host, addresses.peer_port), self._make_frame_receiver(on_frame)
-        )
-        self._channels = PeerChannels(
-            peer_transport, self.bind_host, addresses.peer_port
-        )
+        self._on_frame = on_frame
+        await self.link.open(self.bind_host, addresses.peer_port, self._receive_frame)
         await serve_http(addresses.ready, readiness)
         await serve_http(addresses.heartbeats, heartbeats)
         await serve_http((self.bind_host, addresses.peer_port), self._serve_peer)
@@ -232,8 +208,7 @@
             self.frames.set_data_centre(entry.host, entry.data_centre)
         if self._relayed_kinds:
             self.relay.set_agents(entries)
-        if self.detours is not None:
-            self.detours.set_agents({entry.host: entry for entry in entries})
+        self.link.set_agents(entries)
         return entries
 
     def send_effects(self, effects: list[PassthroughEffect]) -> None:
@@ -247,40 +222,7 @@
 
     def send(self, host: str, frame: PeerFrame) -> None:
         """Send a frame to another node, directly or by a detour."""
-        if self.detours is not None:
-            now = self.now()
-            relay = self.detours.choose_relay(host, self.is_overdue(host, now), now)
-            if relay is not None:
-                if self.detours.is_probe_due(host, now):
-                    self._send_by_relay(relay, host, PathProbe(is_answer=False))
-                self._send_by_relay(relay, host, frame)
-                return
-        self._send_directly(host, frame)
-
-    def follow_board(self, board: LoadBoard) -> None:
-        """Take from a node's load board which hosts owe an answer, and tell it of ways.
-
-        Parameters
-        ----------
-        board : LoadBoard
-            Load reports of the node, and the answers that it awaits.
-        """
-        self.is_overdue = board.is_overdue
-        self.on_host_answered = board.record_alive
-        self.list_silent = lambda now: board.list_silent(REBIND_AFTER_SECONDS, now)
-        if self.detours is not None:
-            board.list_detoured = self.detours.list_hosts
-
-    def _send_by_relay(self, relay: str, host: str, frame: PeerFrame) -> None:
-        self._send_directly(relay, Detour(self.host, host, encode_frame(frame)))
-
-    def _send_directly(self, host: str, frame: PeerFrame) -> None:
-        data = encode_frame(frame)
-        self.frames.record(type(frame).__name__, host, len(data))
-        try:
-            self._channels.send(host, data)
-        except (OSError, ValueError) as error:
-            self.record_drop("peer_address", error)
+        self.link.send(host, frame)
 
     def record_drop(self, reason: str, error: Exception) -> None:
         """Count and log a datagram that was dropped because it cannot be decoded."""
@@ -293,77 +235,23 @@
         await self.tasks.cancel_all()
         self.logs.flush()
 
-    def _make_frame_receiver(
-        self, on_frame: Callable[[str, PeerFrame], None]
-    ) -> Callable[[bytes, Address], None]:
-        def receive(data: bytes, address: Address) -> None:
-            try:
-                frame = decode_frame(data)
-            except PacketError as error:
-                self.record_drop("frame", error)
-                return
-            if isinstance(frame, Detour):
-                self._handle_detour(address[0], frame, on_frame)
-            elif isinstance(frame, PathProbe):
-                self._handle_probe(address[0], frame)
-            else:
-                if self.detours is not None:
-                    self.detours.record_direct(address[0], self.now())
-                self._dispatch(address[0], frame, on_frame)
-
-        return receive
-
-    def _dispatch(
-        self, host: str, frame: PeerFrame, on_frame: Callable[[str, PeerFrame], None]
-    ) -> None:
+    def _make_link(self) -> PeerLink:
+        detours = None
+        if self.settings.detours.mode == "on":
+            detours = Detours(
+                self.host,
+                self.settings.node.data_centre,
+                lambda event, **inputs: self.log_decision(event, b"", **inputs),
+            )
+        return PeerLink(
+            self.host, self.clock, self.frames, self.metrics, self.record_drop, detours
+        )
+
+    def _receive_frame(self, host: str, frame: PeerFrame) -> None:
         if isinstance(frame, ViewInquiry | ViewStatus):
             self.relay.handle_frame(host, frame)
         else:
-            on_frame(host, frame)
-
-    def _handle_detour(
-        self, relay: str, detour: Detour, on_frame: Callable[[str, PeerFrame], None]
-    ) -> None:
-        """Handle a frame that came by a relay, or relay it."""
-        if self.detours is None:
-            return
-        now = self.now()
-        if detour.target != self.host:
-            allowed = self.detours.may_relay(detour.target, len(detour.data), now)
-            if allowed and not detour.relayed:
-                onward = Detour(detour.origin, detour.target, detour.data, relayed=True)
-                self._send_directly(detour.target, onward)
-            else:
-                self.metrics.count("dropped.detour")
-            return
-        try:
-            frame = decode_frame(detour.data)
-        except PacketError as error:
-            self.record_drop("detour", error)
-            return
-        if isinstance(frame, Detour):
-            self.metrics.count("dropped.detour")
-            return
-        self.detours.record_relayed(detour.origin, relay, now)
-        if not isinstance(frame, PathProbe):
-            self._dispatch(detour.origin, frame, on_frame)
-        elif not frame.is_answer:
-            self._send_by_relay(relay, detour.origin, PathProbe(is_answer=True))
-
-    def _handle_probe(self, host: str, probe: PathProbe) -> None:
-        if self.detours is None:
-            return
-        if probe.is_answer:
-            self.detours.record_probe_answer(host, self.now())
-            self.on_host_answered(host, self.now())
-        else:
-            self._send_directly(host, PathProbe(is_answer=True))
-
-    def _probe_paths(self) -> None:
-        if self.detours is not None:
-            for host in self.detours.list_probed_hosts(self.now()):
-                self._send_directly(host, PathProbe(is_answer=False))
-            self.metrics.gauge("detours", len(self.detours.list_hosts()))
+            self._on_frame(host, frame)
 
     def _on_view_change(self, kind: Kind) -> None:
         if kind is Kind.CONFIGURATION:
@@ -458,8 +346,7 @@
             if tick % FRAME_LOG_TICKS == 0:
                 log_event("frames_sent", counts=self.frames.pop_recent())
             self.event_log.start_second()
-            self._probe_paths()
-            await self._channels.rebind(self.list_silent(self.now()))
+            await self.link.tick()
             self.metrics.gauge("task_failures", self.tasks.failures)
             if self._file.has_changed():
                 self._reload()
