Show that a late heartbeat with a high number passes for a recent one

Script review/8: a target crashes and starts again cold, its node is rolled, and the last heartbeat of the crashed incarnation arrives 2.4 s late.

--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -33,6 +33,7 @@
     "places",
     "platform",
 ]
+SEEDS = 3
 START_SECONDS = 20.0
 STOP_SECONDS = 8.0
 
@@ -119,7 +120,9 @@
             ]
             for client in self.clients[zone]:
                 await client.start()
+        seeds = [(host, self.ports["control"]) for host in self._seed_hosts()]
         for target in self.targets.values():
+            target.next_nodes = seeds
             await target.start(cold=False)
         for name in self.hosts:
             self.start_process(name)
@@ -213,6 +216,12 @@
             process.kill()
         process.wait(STOP_SECONDS)
 
+    async def terminate(self, name: str) -> None:
+        """Stop one program with SIGTERM and wait for its end."""
+        process = self.processes.pop(name)
+        process.terminate()
+        await asyncio.to_thread(process.wait, STOP_SECONDS)
+
     def freeze(self, name: str) -> None:
         """Stop one program until `thaw`."""
         self.processes[name].send_signal(signal.SIGSTOP)
@@ -239,12 +248,13 @@
                 raise CannotRun("the deployment does not serve in time")
             await asyncio.sleep(0.05)
 
+    def _seed_hosts(self) -> list[str]:
+        return [self.hosts[name] for name in list(self.balancers)[:SEEDS]]
+
     def _fields(self, name: str, role: str) -> dict[str, object]:
         host, ports = self.hosts[name], self.ports
         zone = self.balancers[name] if role == "balancer" else self.sides[name][0]
-        seeds = [
-            f"{self.hosts[n]}:{ports['control']}" for n in list(self.balancers)[:3]
-        ]
+        seeds = [f"{host}:{ports['control']}" for host in self._seed_hosts()]
         fields: dict[str, object] = {
             "node_name": name,
             "ip_address": host,
--- a/review/standins_2/target.py
+++ b/review/standins_2/target.py
@@ -57,6 +57,8 @@
         When it fell over, and how many flows ended with it.
     next_beat_at : float
         When it sends its next heartbeat.
+    next_nodes : list of tuple of str and int
+        Nodes that it calls if its own doesn't acknowledge a heartbeat.
     forged : int
         Packets that their sender didn't write so.
     """
@@ -80,6 +82,7 @@
     forged: int = 0
     state: str = "ready"
     next_beat_at: float = 0.0
+    next_nodes: list[End] = field(default_factory=list)
     _flows: dict[tuple[End, End], _Flow] = field(default_factory=dict)
     _cold_until: float = 0.0
     _sequence: int = 0
@@ -148,7 +151,14 @@
             await asyncio.sleep(max(0.0, self.next_beat_at - time.monotonic()))
 
     async def beat(self) -> bool:
-        """Send one heartbeat; return whether it was acknowledged within a second."""
+        """Call the own node, and the next ones until one acknowledges the heartbeat."""
+        for address in (self.control, *self.next_nodes):
+            if await self.deliver(self.make_beat(), address):
+                return True
+        return False
+
+    def make_beat(self) -> bytes:
+        """Return the bytes of the next heartbeat; each call has a higher number."""
         self._sequence += 1
         left = max(0.0, self._cold_until - time.monotonic())
         body = json.dumps(
@@ -169,11 +179,15 @@
             f"PUT {path} HTTP/1.1\r\nHost: {self.control[0]}\r\n"
             f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
         )
+        return head.encode() + body
+
+    async def deliver(self, beat: bytes, address: End) -> bool:
+        """Send a heartbeat; return whether it was acknowledged within a second."""
         writer = None
         try:
             async with asyncio.timeout(BEAT_TIMEOUT_SECONDS):
-                reader, writer = await asyncio.open_connection(*self.control)
-                writer.write(head.encode() + body)
+                reader, writer = await asyncio.open_connection(*address)
+                writer.write(beat)
                 status = await reader.readline()
                 return status.split(b" ")[1].startswith(b"2")
         except (OSError, TimeoutError, IndexError):
