--- a/review/standins_2/clients.py
+++ b/review/standins_2/clients.py
@@ -92,6 +92,7 @@
         """Stop receiving packets."""
         if self._transport is not None:
             self._transport.close()
+        self._transport = None
 
     def new_flow(self, service: End) -> Flow:
         """Return a flow from a new port, not open yet."""
@@ -100,6 +101,8 @@
 
     def send(self, packet: Packet) -> None:
         """Send a packet through the balancer that the router selects now."""
+        if self._transport is None:
+            return
         host = self.router.choose(packet.src, packet.dst)
         self._transport.sendto(encode(packet), (host, self._port))
 
